Lay out the workspace and the contracts between its modules

Cause: the decision core, the node, the settings and the test stand-ins are written in parallel, so their interfaces are fixed first.

Not measured yet: nothing forwards a packet. make lint and make test pass.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# The targets that README names. Everything builds into .bin.
+MODULES := core settings wire node cmd testkit
+BIN := $(CURDIR)/.bin
+
+.PHONY: build test lint scenarios bench demo fuzz clean
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/... ./testkit/cmd/...
+
+test:
+	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+lint: $(BIN)/staticcheck $(BIN)/gofumpt
+	@test -z "$$($(BIN)/gofumpt -l $(MODULES) | tee /dev/stderr)"
+	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	@for m in $(MODULES); do (cd $$m && $(BIN)/staticcheck ./...) || exit 1; done
+
+$(BIN)/staticcheck $(BIN)/gofumpt $(BIN)/benchstat: tools/go.mod
+	@mkdir -p $(BIN)
+	cd tools && GOWORK=off go build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt golang.org/x/perf/cmd/benchstat
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/egrettack/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,2 @@
+// Package node is documented in docs/design.md, section 4.
+package node
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings is documented in docs/design.md, section 4.
+package settings
--- /dev/null
+++ b/testkit/doc.go
@@ -0,0 +1,2 @@
+// Package testkit is documented in docs/design.md, section 4.
+package testkit
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire is documented in docs/design.md, section 4.
+package wire
