--- /dev/null
+++ b/core/group/backup.go
@@ -0,0 +1,69 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// Copies are the copies that the backup of a group holds.
+type Copies struct {
+	epoch   uint64
+	seq     uint64
+	base    []snapshot.HostID
+	entries map[flow.Key]copied
+}
+
+type copied struct {
+	entry message.Entry
+	at    time.Duration
+}
+
+// NewCopies returns an empty set of copies for one group.
+func NewCopies() *Copies { return &Copies{entries: make(map[flow.Key]copied)} }
+
+// Len returns the number of copies held.
+func (c *Copies) Len() int { return len(c.entries) }
+
+// Apply adds a batch and returns what to confirm, or false when the batch has
+// to be sent again from an earlier one.
+func (c *Copies) Apply(now time.Duration, b *message.CopyBatch) (message.CopyAck, bool) {
+	switch {
+	case b.Epoch < c.epoch:
+		return message.CopyAck{}, false
+	case b.Epoch == c.epoch && b.Seq <= c.seq:
+		return c.confirm(b), true // a repetition
+	case b.Epoch == c.epoch && b.Seq == c.seq+1:
+	case b.Seq&(1<<streamShift-1) == 1:
+		c.epoch = b.Epoch
+		c.entries = make(map[flow.Key]copied)
+	default:
+		return message.CopyAck{}, false
+	}
+	c.seq = b.Seq
+	c.base = slices.Clone(b.Base)
+	for _, k := range b.Ended {
+		delete(c.entries, k)
+	}
+	for _, e := range b.Entries {
+		c.entries[e.Key] = copied{e, now}
+	}
+	return c.confirm(b), true
+}
+
+func (c *Copies) confirm(b *message.CopyBatch) message.CopyAck {
+	return message.CopyAck{Group: b.Group, Epoch: c.epoch, Seq: c.seq}
+}
+
+// Promote returns the copies and the base list they are relative to, for the
+// Table of the new owner.
+func (c *Copies) Promote(now time.Duration) (entries []message.Entry, base []snapshot.HostID, epoch uint64) {
+	for _, e := range c.entries {
+		e.entry.Age += now - e.at
+		entries = append(entries, e.entry)
+	}
+	return entries, c.base, c.epoch
+}
--- /dev/null
+++ b/core/group/base.go
@@ -0,0 +1,84 @@
+package group
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/snapshot"
+)
+
+const seedDefaultHost uint64 = 0x64656661756c74
+
+// defaultHost is the hashed host of a flow among a base list: the one with the
+// highest hash, which is rendezvous hashing with equal weights. A host that
+// leaves the list moves only its own flows.
+func defaultHost(k flow.Key, list []snapshot.HostID) (snapshot.HostID, bool) {
+	if len(list) == 0 {
+		return 0, false
+	}
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[0:], k.Hash(seedDefaultHost))
+	best, most := list[0], uint64(0)
+	for _, h := range list {
+		binary.LittleEndian.PutUint32(b[8:], uint32(h))
+		if x := xxhash.Sum64(b[:]); x > most {
+			best, most = h, x
+		}
+	}
+	return best, true
+}
+
+// bases are the base lists of a group. The list lags behind the host list: the
+// backup first gets all entries that are not at the default of the next list.
+type bases struct {
+	// adopt is the list when the table was made. Flows without an entry are
+	// older than the table, so they are at the default of this list.
+	adopt []snapshot.HostID
+	now   []snapshot.HostID // in the backup's hands
+	next  []snapshot.HostID // nil when the host list is the base list
+	sent  bool              // next has been sent to the backup, not confirmed
+}
+
+func newBases(base []snapshot.HostID, g *snapshot.Group) bases {
+	list := hostIDs(g)
+	if base == nil {
+		base = list
+	}
+	b := bases{adopt: slices.Clone(base), now: slices.Clone(base)}
+	if !slices.Equal(b.now, list) {
+		b.next = list
+	}
+	return b
+}
+
+func hostIDs(g *snapshot.Group) []snapshot.HostID {
+	ids := make([]snapshot.HostID, len(g.Hosts))
+	for i, h := range g.Hosts {
+		ids[i] = h.ID
+	}
+	return ids
+}
+
+// preferred is the list whose default a new flow is placed by. It is the next
+// list, so that the flow needs no copy once that is in force.
+func (b *bases) preferred() []snapshot.HostID {
+	if b.next != nil {
+		return b.next
+	}
+	return b.now
+}
+
+// implied reports whether the backup finds the flow's host without a copy.
+func (b *bases) implied(k flow.Key, h snapshot.HostID) bool {
+	if d, ok := defaultHost(k, b.now); !ok || d != h {
+		return false
+	}
+	if b.next == nil {
+		return true
+	}
+	d, ok := defaultHost(k, b.next)
+	return ok && d == h
+}
--- /dev/null
+++ b/core/group/expire.go
@@ -0,0 +1,86 @@
+package group
+
+import (
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/place"
+	"egrettack.example/core/table"
+)
+
+const (
+	// synIdle is how long a flow is kept whose caller has sent SYNs only.
+	// SYNs are repeated after 1, 3 and 7 seconds; a flow that is opened again
+	// later is safe, since TCP matches its answers by sequence number.
+	synIdle = 10 * time.Second
+	// closingIdle leaves a caller that has closed its side time to get the
+	// rest of its answer.
+	closingIdle = time.Minute
+	// closedIdle covers packets that arrive late, after the end of the flow.
+	closedIdle = 2 * time.Second
+	// defaultIdle is used for kinds that are no longer configured.
+	defaultIdle = 5 * time.Minute
+
+	// Each Tick visits a part of the table, so that at 20 ticks a second
+	// every entry is visited about every 10 s.
+	sweepPart = 200
+	sweepMin  = 64
+	sweepMax  = 8192 // slots; bounds the pause of one call
+)
+
+// idle returns how long the flow may go without packets.
+func (t *Table) idle(e *table.Entry) time.Duration {
+	limit := defaultIdle
+	if k := t.kinds[e.Kind]; k != nil && k.Idle > 0 {
+		limit = k.Idle
+	}
+	switch e.State() {
+	case table.SynSeen:
+		return min(limit, synIdle)
+	case table.Closing:
+		return min(limit, closingIdle)
+	case table.Closed:
+		return min(limit, closedIdle)
+	}
+	return limit
+}
+
+// Tick expires a bounded number of entries, ejects and readmits hosts, and
+// returns resets for silent flows and for those whose host has gone.
+func (t *Table) Tick(now time.Duration) []flow.Reset {
+	if t.hosts.Tick(now) {
+		t.recount()
+	}
+	t.resets = nil
+	n := min(max(sweepMin, t.flows.Slots()/sweepPart), sweepMax)
+	stamp := table.StampOf(now)
+	t.flows.Sweep(n, func(e *table.Entry) bool { return t.expire(now, stamp, e) })
+	t.setRoom()
+	return t.resets
+}
+
+func (t *Table) expire(now time.Duration, stamp table.Stamp, e *table.Entry) bool {
+	switch {
+	case e.Active.Since(stamp) > t.idle(e):
+		if e.State() == table.SynSeen && !e.Has(table.Redirected) {
+			t.failed(now, e, place.FailedHandshake)
+		}
+	case e.Has(table.Redirected):
+		return false
+	case t.gone(e.Host()), t.silent(now, e):
+		t.resetLater(e)
+	default:
+		return false
+	}
+	t.drop(now, e)
+	return true
+}
+
+// resetLater resets the flow towards its caller, which may be waiting for
+// data and would send nothing for a long time.
+func (t *Table) resetLater(e *table.Entry) {
+	if e.Proto() != flow.TCP || e.State() == table.SynSeen || e.State() == table.Closed || e.Retransmissions == table.Unsynced {
+		return
+	}
+	t.resets = append(t.resets, flow.Reset{Key: e.Key(), Seq: e.Ack})
+}
--- /dev/null
+++ b/core/group/observe.go
@@ -0,0 +1,155 @@
+package group
+
+import (
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/place"
+	"egrettack.example/core/table"
+)
+
+const (
+	// A flow is silent when its caller has retransmitted this often and for
+	// this long without progress. Retransmission time-outs double from about
+	// 200 ms, so the third comes at 1.4 s and the fourth at 3 s.
+	silentRetransmissions = 3
+	silentAfter           = 2 * time.Second
+	// silentMargin is by how much the progress of another flow on the host
+	// must be later than the last progress of the silent one, so that a host
+	// that stalls as a whole for a moment resets nobody.
+	silentMargin = time.Second
+	// newFor is the age up to which a flow that stalls counts as a failed new flow.
+	newFor = 2 * time.Second
+)
+
+func after(a, b uint32) bool { return int32(a-b) > 0 }
+
+// observe notes what a packet tells of its flow and its host. It returns true
+// when the flow has gone silent.
+func (t *Table) observe(now time.Duration, e *table.Entry, p *flow.Packet) bool {
+	stamp := table.StampOf(now)
+	e.Active = stamp
+	if p.Key.Proto != flow.TCP {
+		return false
+	}
+	switch {
+	case p.Opens():
+		t.observeSYN(now, e, p)
+		return false
+	case p.Flags.Has(flow.RST):
+		t.end(now, e)
+		e.SetState(table.Closed)
+		return false
+	}
+	if p.Flags.Has(flow.ACK) {
+		t.observeACK(now, e, p)
+	}
+	if p.Flags.Has(flow.FIN) && e.State() < table.Closing {
+		t.end(now, e)
+		e.SetState(table.Closing)
+		t.notePulled(e, false)
+	}
+	return t.observeData(now, e, p)
+}
+
+// observeSYN counts a retransmitted SYN as a failure of its host, once a flow.
+func (t *Table) observeSYN(now time.Duration, e *table.Entry, p *flow.Packet) {
+	if p.Seq != e.ISN {
+		e.Mark(table.Reopened)
+		return
+	}
+	if e.State() == table.SynSeen {
+		t.failed(now, e, place.FailedHandshake)
+	}
+}
+
+func (t *Table) failed(now time.Duration, e *table.Entry, f place.Failure) {
+	if e.Has(table.Failed) {
+		return
+	}
+	e.Mark(table.Failed)
+	if h := t.hosts.Find(e.Host()); h != nil && t.hosts.Failed(now, h, f) {
+		t.recount()
+	}
+}
+
+func (t *Table) observeACK(now time.Duration, e *table.Entry, p *flow.Packet) {
+	synced := e.Retransmissions != table.Unsynced
+	switch {
+	case e.State() == table.SynSeen:
+		e.SetState(table.Established)
+		if h := t.hosts.Find(e.Host()); h != nil {
+			t.hosts.Accepted(now, h)
+		}
+		if !synced {
+			return
+		}
+		e.Ack = p.Ack
+	case !synced:
+		return
+	case after(p.Ack, e.Ack):
+		// The caller acknowledges the host's FIN after its own.
+		if e.State() == table.Closing && p.Ack == e.Ack+1 && p.PayloadLen == 0 && !p.Flags.Has(flow.FIN) {
+			e.SetState(table.Closed)
+		}
+		e.Ack = p.Ack
+		if h := t.hosts.Find(e.Host()); h != nil {
+			t.hosts.Advanced(now, h)
+		}
+	default:
+		return
+	}
+	e.Retransmissions = 0
+	e.Progress = table.StampOf(now)
+}
+
+// observeData tells new data from retransmitted data. New data shows that the
+// host's acknowledgements, which do not pass here, have opened the window.
+// A segment of one byte may be a keep-alive, which repeats by design.
+func (t *Table) observeData(now time.Duration, e *table.Entry, p *flow.Packet) bool {
+	end := p.Seq + uint32(p.PayloadLen)
+	switch {
+	case e.Retransmissions == table.Unsynced:
+		e.Seq, e.Ack = end, p.Ack
+		e.Retransmissions = 0
+		e.Progress = table.StampOf(now)
+	case after(end, e.Seq):
+		e.Seq = end
+		e.Retransmissions = 0
+		e.Progress = table.StampOf(now)
+	case p.PayloadLen > 1 && e.Retransmissions < table.Unsynced-1:
+		e.Retransmissions++
+		if e.Retransmissions == silentRetransmissions && e.Born.Since(e.Progress) < newFor {
+			t.failed(now, e, place.FailedData)
+		}
+	}
+	return t.silent(now, e)
+}
+
+// silent reports whether the flow makes no progress while others on its host do.
+func (t *Table) silent(now time.Duration, e *table.Entry) bool {
+	if e.Retransmissions < silentRetransmissions || e.Retransmissions == table.Unsynced || e.State() != table.Established || e.Has(table.Reopened) {
+		return false
+	}
+	since := e.Progress.Since(table.StampOf(now))
+	if since < silentAfter {
+		return false
+	}
+	h := t.hosts.Find(e.Host())
+	return h != nil && h.LastAdvance > now-since+silentMargin
+}
+
+// observeRedirect keeps the state of a redirect, so that a reused 5-tuple is
+// recognized. The flow is counted by the group that holds it.
+func (t *Table) observeRedirect(now time.Duration, e *table.Entry, p *flow.Packet) {
+	e.Active = table.StampOf(now)
+	switch {
+	case p.Key.Proto != flow.TCP || p.Opens():
+	case p.Flags.Has(flow.RST):
+		e.SetState(table.Closed)
+	case p.Flags.Has(flow.FIN):
+		e.SetState(max(e.State(), table.Closing))
+	case e.State() == table.SynSeen:
+		e.SetState(table.Established)
+	}
+}
--- /dev/null
+++ b/core/group/packet.go
@@ -0,0 +1,126 @@
+package group
+
+import (
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
+)
+
+// Packet decides on one packet.
+func (t *Table) Packet(now time.Duration, r *Request) Decision {
+	p := r.Packet
+	if e := t.flows.Find(p.Key); e != nil {
+		if !p.Opens() || p.Seq == e.ISN || !t.reusable(now, e) {
+			return t.known(now, e, r)
+		}
+		t.remove(now, e)
+	}
+	return t.unknown(now, r)
+}
+
+// reusable reports whether a SYN with another sequence number opens a new
+// flow on the 5-tuple of e.
+func (t *Table) reusable(now time.Duration, e *table.Entry) bool {
+	return e.State() >= table.Closing || e.Active.Since(table.StampOf(now)) > t.idle(e)
+}
+
+// known handles a packet of a flow that has an entry.
+func (t *Table) known(now time.Duration, e *table.Entry, r *Request) Decision {
+	d := Decision{Verdict: Forward}
+	if e.Has(table.Redirected) {
+		d.Verdict, d.Group = Redirect, e.Redirect(t.cfg.Group.ID.Service)
+		t.observeRedirect(now, e, r.Packet)
+	} else {
+		d.Host = e.Host()
+		if t.gone(d.Host) {
+			return t.hostGone(now, e, r.Packet)
+		}
+		if t.observe(now, e, r.Packet) {
+			t.end(now, e)
+			t.remove(now, e)
+			return Decision{Verdict: Abort, Reason: ReasonSilent, Reset: flow.Abort(r.Packet)}
+		}
+	}
+	if r.Ask == AskHolder {
+		d.Entry = t.export(now, e)
+	}
+	return d
+}
+
+// hostGone ends a flow whose host has left the lists. A SYN is dropped rather
+// than refused, since the host may have got an earlier one with a request in
+// it (TCP fast open); the entry lapses a few seconds later.
+func (t *Table) hostGone(now time.Duration, e *table.Entry, p *flow.Packet) Decision {
+	d := Decision{Verdict: Drop, Reason: ReasonHostGone}
+	switch {
+	case p.Key.Proto != flow.TCP:
+		t.remove(now, e)
+	case !p.Opens() && p.Flags.Has(flow.RST):
+		t.remove(now, e)
+	case !p.Opens():
+		d.Verdict, d.Reset = Abort, flow.Abort(p)
+		t.remove(now, e)
+	}
+	return d
+}
+
+// unknown handles a packet of a flow without an entry.
+func (t *Table) unknown(now time.Duration, r *Request) Decision {
+	p := r.Packet
+	switch {
+	case r.Ask == AskHolder:
+		return Decision{Verdict: Miss}
+	case r.Ask == AskDefault && !p.Opens():
+		return t.byDefault(now, r)
+	case t.pull.done:
+		return Decision{Verdict: Miss, Reason: ReasonHandover}
+	case p.Opens() || p.Key.Proto == flow.UDP:
+		return t.placeNew(now, r)
+	}
+	return Decision{Verdict: Miss}
+}
+
+// byDefault sends a packet of a flow that nobody holds to its default host and
+// adopts the flow. The default is that of the base list at the time the table
+// was made, since only flows from before then can lack an entry.
+func (t *Table) byDefault(now time.Duration, r *Request) Decision {
+	p := r.Packet
+	if r.NoDefault {
+		return Decision{Verdict: Drop, Reason: ReasonMoved}
+	}
+	h, ok := defaultHost(p.Key, t.base.adopt)
+	if !ok || t.gone(h) {
+		if p.Key.Proto != flow.TCP || p.Flags.Has(flow.RST) {
+			return Decision{Verdict: Drop, Reason: ReasonHostGone}
+		}
+		return Decision{Verdict: Abort, Reason: ReasonHostGone, Reset: flow.Abort(p)}
+	}
+	if !p.Flags.Has(flow.RST) && t.flows.Len() < t.cfg.MaxFlows {
+		e := t.add(now, message.Entry{Key: p.Key, Host: h, Kind: r.Kind, Established: true})
+		t.observe(now, e, p)
+	}
+	return Decision{Verdict: Forward, Host: h}
+}
+
+// Learn adopts what an asked instance holds.
+func (t *Table) Learn(now time.Duration, l *message.Learn) {
+	e := t.flows.Find(l.Entry.Key)
+	if e != nil || t.flows.Len() >= t.cfg.MaxFlows {
+		return
+	}
+	if l.HeldBy != t.cfg.Group.ID {
+		t.addRedirect(now, l.Entry, l.HeldBy)
+		return
+	}
+	t.add(now, l.Entry)
+}
+
+// addRedirect keeps a redirect for a flow that another group holds.
+func (t *Table) addRedirect(now time.Duration, m message.Entry, to snapshot.GroupID) {
+	e, _ := t.flows.Insert(m.Key)
+	t.fill(now, e, &m)
+	e.SetRedirect(to)
+}
--- /dev/null
+++ b/core/group/packet_test.go
@@ -0,0 +1,227 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+var second = snapshot.GroupID{Service: 7, Domain: 2, Index: 1}
+
+// Guards against a packet of a known flow going to another host.
+func TestFlowKeepsItsHost(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(5)
+	tab := f.table(group.Config{})
+	for n := range 50 {
+		h := open(t, tab, 0, feed, n)
+		for _, r := range []*group.Request{
+			syn(feed, n, 100), // retransmission
+			syn(feed, n, 999), // another SYN while the flow is open
+			request(feed, n, flow.ACK|flow.PSH, 101, 5001, 80),
+			ask(ack(feed, n, 100), group.AskHolder),
+			ask(ack(feed, n, 100), group.AskDefault),
+		} {
+			g.Expect(tab.Packet(time.Second, r)).To(And(
+				HaveField("Verdict", group.Forward), HaveField("Host", h)))
+		}
+	}
+}
+
+// Guards against a reused 5-tuple being taken for the flow that had it before.
+func TestReusedTupleIsANewFlow(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	f.slots, f.queue = 1, 0
+	tab := f.table(group.Config{})
+	open(t, tab, 0, lookup, 1)
+	g.Expect(tab.Packet(0, syn(lookup, 2, 100)).Verdict).To(Equal(group.Refuse))
+	tab.Packet(0, request(lookup, 1, flow.FIN|flow.ACK, 101, 5001, 0))
+	g.Expect(tab.Stats(0).Hosts[0].Slots).To(BeZero())
+	open(t, tab, 0, lookup, 2)
+	d := tab.Packet(0, syn(lookup, 1, 7777))
+	g.Expect(d).To(And(HaveField("Verdict", group.Refuse), HaveField("Reason", group.ReasonNoSlot)))
+	g.Expect(d.Reset).To(Equal(flow.Reset{Key: key(lookup, 1), Ack: 7778, WithAck: true}))
+}
+
+// Guards against a second placement of a flow that was spilled.
+func TestSpillOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	f.slots, f.queue = 1, 0
+	tab := f.table(group.Config{})
+	open(t, tab, 0, lookup, 1)
+	r := syn(lookup, 2, 100)
+	r.SpillTo = second
+	g.Expect(tab.Packet(0, r)).To(And(HaveField("Verdict", group.Redirect), HaveField("Group", second)))
+	tab.Packet(0, request(lookup, 1, flow.RST, 101, 0, 0))
+	g.Expect(tab.Packet(0, r).Verdict).To(Equal(group.Redirect), "a retransmitted SYN after a slot became free")
+	g.Expect(tab.Packet(0, ack(lookup, 2, 100)).Group).To(Equal(second))
+
+	open(t, tab, 0, lookup, 3)
+	s := ask(syn(lookup, 4, 100), group.AskSpill)
+	s.SpillTo = second
+	g.Expect(tab.Packet(0, s).Verdict).To(Equal(group.Refuse), "a spilled flow is not spilled again")
+}
+
+// Guards against guessing: a flow without an entry goes to its default host
+// only when nobody holds it and its address has not moved.
+func TestMissAndDefault(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(5)
+	tab := f.table(group.Config{})
+	g.Expect(tab.Packet(0, ack(feed, 1, 100)).Verdict).To(Equal(group.Miss))
+	g.Expect(tab.Packet(0, ask(ack(feed, 1, 100), group.AskHolder)).Verdict).To(Equal(group.Miss))
+	moved := ask(ack(feed, 1, 100), group.AskDefault)
+	moved.NoDefault = true
+	g.Expect(tab.Packet(0, moved)).To(And(HaveField("Verdict", group.Drop), HaveField("Reason", group.ReasonMoved)))
+	d := tab.Packet(0, ask(ack(feed, 1, 100), group.AskDefault))
+	g.Expect(d.Verdict).To(Equal(group.Forward))
+	g.Expect(tab.Packet(0, ack(feed, 1, 100))).To(HaveField("Host", d.Host), "the flow is adopted")
+	g.Expect(tab.Stats(0).Flows).To(Equal(1))
+}
+
+// Guards against flows of a host that has gone being sent elsewhere or left hanging.
+func TestHostGoneResetsFlows(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	tab := f.table(group.Config{})
+	for n := range 10 {
+		open(t, tab, 0, feed, n)
+	}
+	f.ids = f.ids[1:]
+	s, gr := f.snapshot()
+	tab.Update(time.Second, s, gr)
+	aborts := 0
+	for n := range 5 {
+		if d := tab.Packet(time.Second, ack(feed, n, 100)); d.Verdict == group.Abort {
+			g.Expect(d.Reset).To(Equal(flow.Reset{Key: key(feed, n), Seq: 5001}))
+			aborts++
+		}
+	}
+	for range 2000 {
+		aborts += len(tab.Tick(time.Second))
+	}
+	g.Expect(aborts).To(Equal(5))
+	g.Expect(tab.Stats(time.Second)).To(HaveField("Flows", 5))
+}
+
+// Guards against a learned redirect being counted or placed here.
+func TestLearn(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	tab := f.table(group.Config{})
+	own := snapshot.GroupID{Service: 7, Domain: 1}
+	tab.Learn(0, &message.Learn{Group: own, HeldBy: second, Entry: message.Entry{Key: key(feed, 1), Kind: feed, ISN: 9, Established: true}})
+	g.Expect(tab.Packet(0, ack(feed, 1, 9))).To(And(HaveField("Verdict", group.Redirect), HaveField("Group", second)))
+	g.Expect(tab.Stats(0).Hosts[0].Connections + tab.Stats(0).Hosts[1].Connections).To(BeZero())
+	tab.Learn(0, &message.Learn{Group: own, HeldBy: own, Entry: message.Entry{Key: key(feed, 2), Host: 2, Kind: feed, ISN: 9, Established: true}})
+	g.Expect(tab.Packet(0, ack(feed, 2, 9))).To(And(HaveField("Verdict", group.Forward), HaveField("Host", snapshot.HostID(2))))
+}
+
+// Guards against resetting flows of a host that stalls as a whole, and
+// against leaving a flow silent while its host serves others.
+func TestSilence(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	open(t, tab, 0, feed, 1)
+	open(t, tab, 0, feed, 2)
+	data := request(feed, 1, flow.ACK|flow.PSH, 101, 5001, 50)
+	for _, ms := range []int{0, 200, 600, 1400, 3000} {
+		g.Expect(tab.Packet(time.Duration(ms)*time.Millisecond, data).Verdict).To(Equal(group.Forward))
+	}
+	tab.Packet(3500*time.Millisecond, request(feed, 2, flow.ACK, 101, 6000, 0))
+	d := tab.Packet(6200*time.Millisecond, data)
+	g.Expect(d).To(And(HaveField("Verdict", group.Abort), HaveField("Reason", group.ReasonSilent)))
+	g.Expect(d.Reset).To(Equal(flow.Reset{Key: key(feed, 1), Seq: 5001}))
+	g.Expect(tab.Stats(0).Hosts[0].Connections).To(Equal(1))
+}
+
+// Guards against keep-alives, which repeat by design, being taken for silence.
+func TestKeepAlivesAreNotSilence(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	open(t, tab, 0, feed, 1)
+	open(t, tab, 0, feed, 2)
+	tab.Packet(0, request(feed, 1, flow.ACK|flow.PSH, 101, 5001, 50))
+	for i := range 20 {
+		now := time.Duration(i+1) * 15 * time.Second
+		tab.Packet(now, request(feed, 2, flow.ACK, 101, 6000+uint32(i), 0))
+		g.Expect(tab.Packet(now, request(feed, 1, flow.ACK, 150, 5001, uint16(i%2))).Verdict).To(Equal(group.Forward))
+	}
+}
+
+// Guards against datagrams of one flow being parted, and against answers to UDP.
+func TestUDP(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(3)
+	f.max = 2
+	tab := f.table(group.Config{})
+	first := tab.Packet(0, syn(probe, 1, 0))
+	g.Expect(first.Verdict).To(Equal(group.Forward))
+	g.Expect(tab.Packet(time.Second, syn(probe, 1, 0))).To(Equal(first))
+	for n := 2; n < 10; n++ {
+		if d := tab.Packet(0, syn(probe, n, 0)); d.Verdict != group.Forward {
+			g.Expect(d).To(Equal(group.Decision{Verdict: group.Drop, Reason: group.ReasonUDPUnavailable}))
+		}
+	}
+	for i := range 2000 {
+		tab.Tick(time.Duration(i) * 50 * time.Millisecond)
+	}
+	g.Expect(tab.Stats(0).Flows).To(BeZero(), "flows end by idle time")
+}
+
+// Guards against a program that hangs behind a live kernel keeping its share of new flows.
+func TestEjection(t *testing.T) {
+	for name, fail := range map[string]func(tab *group.Table, now time.Duration, n int){
+		"no handshake": func(tab *group.Table, now time.Duration, n int) {
+			tab.Packet(now+time.Second, syn(lookup, n, 100))
+		},
+		"no answer": func(tab *group.Table, now time.Duration, n int) {
+			tab.Packet(now, ack(lookup, n, 100))
+			for range 4 {
+				tab.Packet(now+time.Second, request(lookup, n, flow.ACK|flow.PSH, 101, 5001, 40))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := defaultFleet(3)
+			tab := f.table(group.Config{})
+			failed := 0
+			place := func(now time.Duration, n int) snapshot.HostID {
+				h := tab.Packet(now, syn(lookup, n, 100)).Host
+				if h == 1 {
+					fail(tab, now, n)
+					failed++
+				} else {
+					tab.Packet(now, ack(lookup, n, 100))
+					tab.Packet(now, request(lookup, n, flow.ACK, 101, 5002, 0))
+				}
+				tab.Packet(now, request(lookup, n, flow.RST, 101, 0, 0))
+				return h
+			}
+			for n := range 40 {
+				place(0, n)
+			}
+			g.Expect(failed).To(Equal(3))
+			g.Expect(tab.Stats(0).Hosts[0].Why).To(Equal("ejected"))
+			tab.Tick(6 * time.Second)
+			g.Expect(tab.Stats(0).Hosts[0].Usable).To(BeTrue(), "readmitted after the back-off")
+			for n := 40; n < 80; n++ {
+				place(6*time.Second, n)
+			}
+			g.Expect(failed).To(Equal(4), "one more failure ejects it again")
+			tab.Tick(12 * time.Second)
+			g.Expect(tab.Stats(0).Hosts[0].Usable).To(BeFalse(), "the back-off doubles")
+		})
+	}
+}
--- /dev/null
+++ b/core/group/place.go
@@ -0,0 +1,177 @@
+package group
+
+import (
+	"time"
+
+	"egrettack.example/core/admit"
+	"egrettack.example/core/flow"
+	"egrettack.example/core/message"
+	"egrettack.example/core/place"
+	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
+)
+
+// refusals remembers the last refused SYNs, so that their retransmissions are
+// not taken for new demand. Collisions only lose or add a mark of demand.
+type refusals [512]uint64
+
+func refusalHash(p *flow.Packet) uint64 { return p.Key.Hash(uint64(p.Seq)) | 1 }
+
+func (f *refusals) has(h uint64) bool { return f[h>>55] == h }
+
+func (f *refusals) add(h uint64) { f[h>>55] = h }
+
+// placeNew admits a new flow and chooses its host, or spills it once, or refuses it.
+func (t *Table) placeNew(now time.Duration, r *Request) Decision {
+	p := r.Packet
+	kind := t.kinds[r.Kind]
+	switch {
+	case kind == nil:
+		return Decision{Verdict: Drop, Reason: ReasonUnknown}
+	case t.flows.Len() >= t.cfg.MaxFlows:
+		return t.refuse(p, ReasonTableFull)
+	}
+	mark := refusalHash(p)
+	repeated := t.refused.has(mark)
+	if !repeated {
+		t.admit.Demand(now, r.Kind)
+	}
+	h, reason := t.room(now, p.Key, kind, !repeated)
+	if h == nil {
+		if r.Ask == AskOwner && r.SpillTo != (snapshot.GroupID{}) {
+			t.addRedirect(now, opening(p, kind, 0), r.SpillTo)
+			return Decision{Verdict: Redirect, Group: r.SpillTo, Reason: reason}
+		}
+		t.refused.add(mark)
+		return t.refuse(p, reason)
+	}
+	e := t.add(now, opening(p, kind, h.ID))
+	e.Seq, e.Retransmissions = p.Seq+1+uint32(p.PayloadLen), 0
+	return Decision{Verdict: Forward, Host: h.ID}
+}
+
+// room returns the host for a new flow of the kind, or why there is none.
+func (t *Table) room(now time.Duration, k flow.Key, kind *snapshot.Kind, note bool) (*place.Host, Reason) {
+	refusal := t.admit.Check(now, kind.ID)
+	if refusal != admit.Admitted {
+		if note && refusal != admit.Ceiling {
+			t.admit.Refused(now, kind.ID)
+		}
+		return nil, t.reason(refusal, kind)
+	}
+	preferred, _ := defaultHost(k, t.base.preferred())
+	h := t.hosts.Choose(now, kind.Occupies, preferred)
+	if h == nil {
+		return nil, ReasonConnections
+	}
+	if kind.Occupies == snapshot.OccupiesSlot && kind.Deadline > 0 && h.Wait(kind.Service) > kind.Deadline {
+		if note {
+			t.admit.Refused(now, kind.ID)
+		}
+		return nil, ReasonDeadline
+	}
+	return h, ReasonNone
+}
+
+func (t *Table) reason(refusal admit.Refusal, kind *snapshot.Kind) Reason {
+	capacity, _ := t.hosts.Capacity(kind.Occupies)
+	switch {
+	case capacity == 0:
+		return ReasonNoHost
+	case refusal == admit.Full && kind.Occupies == snapshot.OccupiesConnection:
+		return ReasonConnections
+	}
+	return ReasonNoSlot
+}
+
+func (t *Table) refuse(p *flow.Packet, reason Reason) Decision {
+	if p.Key.Proto != flow.TCP {
+		return Decision{Verdict: Drop, Reason: ReasonUDPUnavailable}
+	}
+	return Decision{Verdict: Refuse, Reason: reason, Reset: flow.RefuseSYN(p)}
+}
+
+func opening(p *flow.Packet, kind *snapshot.Kind, h snapshot.HostID) message.Entry {
+	return message.Entry{
+		Key: p.Key, Host: h, Kind: kind.ID, ISN: p.Seq,
+		Established: p.Key.Proto != flow.TCP,
+	}
+}
+
+// add inserts an entry that is not in the table yet and counts it.
+func (t *Table) add(now time.Duration, m message.Entry) *table.Entry {
+	e, _ := t.flows.Insert(m.Key)
+	t.fill(now, e, &m)
+	e.SetHost(m.Host)
+	t.count(now, e)
+	t.queueCopy(now, e)
+	t.notePulled(e, false)
+	return e
+}
+
+func (t *Table) fill(now time.Duration, e *table.Entry, m *message.Entry) {
+	e.Kind, e.ISN = m.Kind, m.ISN
+	e.Retransmissions = table.Unsynced
+	e.Active, e.Progress = table.StampOf(now), table.StampOf(now)
+	e.Born = table.StampOf(now - m.Age)
+	switch {
+	case m.Closing:
+		e.SetState(table.Closing)
+	case m.Established:
+		e.SetState(table.Established)
+	}
+}
+
+// count counts a flow on its host. A host that has left the group is kept for that.
+func (t *Table) count(now time.Duration, e *table.Entry) {
+	if e.State() >= table.Closing {
+		return
+	}
+	published := t.cfg.Snapshot.Hosts[e.Host()]
+	if published == nil {
+		return // the flow is reset at the next packet or sweep
+	}
+	h := t.hosts.Hold(published)
+	kind := t.kinds[e.Kind]
+	slot := kind != nil && kind.Occupies == snapshot.OccupiesSlot
+	e.Mark(table.Counted)
+	if slot {
+		e.Mark(table.Slot)
+	}
+	h.Start(now, e.Kind, slot)
+	if h.Usable() {
+		t.admit.Add(e.Kind, 1)
+		t.setRoom()
+	}
+}
+
+// end stops counting a flow on its host.
+func (t *Table) end(now time.Duration, e *table.Entry) {
+	if !e.Has(table.Counted) {
+		return
+	}
+	slot := e.Has(table.Slot)
+	e.Unmark(table.Counted | table.Slot)
+	h := t.hosts.Find(e.Host())
+	if h == nil {
+		return
+	}
+	h.End(now, e.Kind, slot)
+	if h.Usable() {
+		t.admit.Add(e.Kind, -1)
+		t.setRoom()
+	}
+}
+
+// remove ends a flow and takes its entry out of the table.
+func (t *Table) remove(now time.Duration, e *table.Entry) {
+	t.drop(now, e)
+	t.flows.Delete(e.Key())
+}
+
+// drop does what the end of an entry needs but for taking it out of the table.
+func (t *Table) drop(now time.Duration, e *table.Entry) {
+	t.end(now, e)
+	t.queueEnd(e)
+	t.notePulled(e, true)
+}
--- /dev/null
+++ b/core/group/status.go
@@ -0,0 +1,67 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
+)
+
+// Stats are counts for metrics and status.
+type Stats struct {
+	Flows, Backlog int // open entries; entries waiting to be copied
+	Hosts          []HostStats
+}
+
+// HostStats are the counts of one host.
+type HostStats struct {
+	Host               snapshot.HostID
+	Connections, Slots int
+	Weight             float64
+	Usable             bool
+	Why                string // why it is not usable
+}
+
+// Stats returns the present counts.
+func (t *Table) Stats(now time.Duration) Stats {
+	s := Stats{Flows: t.flows.Len(), Backlog: t.copies.backlog()}
+	for _, h := range t.hosts.All() {
+		s.Hosts = append(s.Hosts, HostStats{
+			Host: h.ID, Connections: h.Connections, Slots: h.InProgress,
+			Weight: h.Weight(now, snapshot.OccupiesSlot),
+			Usable: h.Usable(), Why: h.Why(),
+		})
+	}
+	return s
+}
+
+// Explain tells where the flow goes and why, without changing anything.
+func (t *Table) Explain(now time.Duration, k flow.Key, kind snapshot.KindID) string {
+	e := t.flows.Find(k)
+	switch {
+	case e == nil:
+		return t.explainNew(now, k, kind)
+	case e.Has(table.Redirected):
+		return fmt.Sprintf("redirected to group %s", e.Redirect(t.cfg.Group.ID.Service))
+	case t.gone(e.Host()):
+		return fmt.Sprintf("entry on host %d, which has left the list: the flow is reset", e.Host())
+	}
+	return fmt.Sprintf("entry on host %d: state=%s age=%s idle=%s retransmissions=%d",
+		e.Host(), e.State(), e.Born.Since(table.StampOf(now)), e.Active.Since(table.StampOf(now)), e.Retransmissions)
+}
+
+func (t *Table) explainNew(now time.Duration, k flow.Key, id snapshot.KindID) string {
+	kind := t.kinds[id]
+	if kind == nil {
+		return fmt.Sprintf("no entry; kind %d is not defined", id)
+	}
+	d, _ := defaultHost(k, t.base.adopt)
+	h, reason := t.room(now, k, kind, false)
+	if h == nil {
+		return fmt.Sprintf("no entry; default host %d; a new flow has no room: %s (admission: %s, in use %d, guaranteed %d)",
+			d, reason, t.admit.Check(now, id), t.admit.InUse(id), t.admit.Guarantee(id))
+	}
+	return fmt.Sprintf("no entry; default host %d; a new flow goes to host %d", d, h.ID)
+}
--- a/core/group/table.go
+++ b/core/group/table.go
@@ -3,11 +3,17 @@
 import (
 	"time"
 
+	"egrettack.example/core/admit"
 	"egrettack.example/core/flow"
 	"egrettack.example/core/message"
+	"egrettack.example/core/place"
 	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
 )
 
+// DefaultMaxFlows bounds the entries of one group, at about 64 MB.
+const DefaultMaxFlows = 1 << 20
+
 // Config is what a Table starts from. Times are monotonic, since the start of the process.
 type Config struct {
 	Group    *snapshot.Group
@@ -19,94 +25,128 @@
 
 // Table is the state of one owned host group.
 type Table struct {
-	cfg Config
+	cfg     Config
+	service *snapshot.Service
+	kinds   [256]*snapshot.Kind
+	flows   *table.Table
+	hosts   *place.Set
+	admit   *admit.Control
+	base    bases
+	copies  stream
+	pull    pull
+	refused refusals
+
+	// reset collects the resets of one Tick.
+	resets []flow.Reset
 }
 
 // New returns an empty table.
-func New(now time.Duration, cfg Config) *Table { return &Table{cfg: cfg} }
+func New(now time.Duration, cfg Config) *Table {
+	if cfg.MaxFlows <= 0 {
+		cfg.MaxFlows = DefaultMaxFlows
+	}
+	t := &Table{
+		cfg:   cfg,
+		flows: table.New(),
+		hosts: place.New(cfg.Group.Hosts),
+	}
+	t.base = newBases(cfg.Base, cfg.Group)
+	t.service = cfg.Snapshot.Services[cfg.Group.ID.Service]
+	t.admit = admit.New(t.configureKinds())
+	t.recount()
+	return t
+}
+
+func (t *Table) configureKinds() []*snapshot.Kind {
+	t.kinds = [256]*snapshot.Kind{}
+	if t.service == nil {
+		return nil
+	}
+	for _, k := range t.service.Kinds {
+		t.kinds[k.ID] = k
+	}
+	return t.service.Kinds
+}
 
 // Update takes a newer snapshot into use. The group's hosts may have changed.
-func (t *Table) Update(now time.Duration, s *snapshot.Snapshot, g *snapshot.Group) {}
+func (t *Table) Update(now time.Duration, s *snapshot.Snapshot, g *snapshot.Group) {
+	old := t.cfg.Snapshot
+	t.cfg.Snapshot, t.cfg.Group = s, g
+	t.service = s.Services[g.ID.Service]
+	t.admit.Configure(t.configureKinds())
+	t.hosts.Update(now, g.Hosts, func(h snapshot.HostID) bool { return old.Hosts[h] == nil })
+	t.changeBase()
+	t.recount()
+}
 
-// Packet decides on one packet.
-func (t *Table) Packet(now time.Duration, r *Request) Decision { return Decision{Verdict: Miss} }
+// recount derives the admission counts from those of the usable hosts.
+func (t *Table) recount() {
+	var use [256]int
+	for _, h := range t.hosts.All() {
+		if h.Usable() {
+			for k, n := range h.Use {
+				use[k] += int(n)
+			}
+		}
+	}
+	for k, n := range use {
+		t.admit.Set(snapshot.KindID(k), n)
+	}
+	t.setRoom()
+}
 
-// Learn adopts what an asked instance holds.
-func (t *Table) Learn(now time.Duration, l *message.Learn) {}
+// setRoom tells admission the capacity of the usable hosts and what is free of it.
+func (t *Table) setRoom() {
+	for _, o := range [...]snapshot.Occupancy{snapshot.OccupiesConnection, snapshot.OccupiesSlot} {
+		capacity, free := t.hosts.Capacity(o)
+		t.admit.SetCapacity(o, capacity)
+		t.admit.SetFree(o, free)
+	}
+}
 
 // Report takes a host's own load report, which may lag or mislead.
-func (t *Table) Report(now time.Duration, h snapshot.HostID, r message.LoadReport) {}
+func (t *Table) Report(now time.Duration, h snapshot.HostID, r message.LoadReport) {
+	t.hosts.Report(now, h, r)
+	t.recount()
+}
 
 // Foreign takes the counts of flows that another instance holds on hosts of this group.
-func (t *Table) Foreign(now time.Duration, from snapshot.InstanceID, counts []message.HostCount) {}
-
-// Tick expires a bounded number of entries, ejects and readmits hosts, and
-// returns resets for silent flows.
-func (t *Table) Tick(now time.Duration) []flow.Reset { return nil }
-
-// StartCopies begins a new copy stream, for a new backup or after a takeover.
-func (t *Table) StartCopies(now time.Duration) {}
-
-// NextCopies returns the next batch for the backup of at most maxEntries
-// entries and ends, or false when nothing is due. Unconfirmed batches are
-// returned again after a time-out.
-func (t *Table) NextCopies(now time.Duration, maxEntries int) (message.CopyBatch, bool) {
-	return message.CopyBatch{}, false
+func (t *Table) Foreign(now time.Duration, from snapshot.InstanceID, counts []message.HostCount) {
+	t.hosts.Foreign(now, from, counts)
+	t.setRoom()
 }
 
-// Acknowledge confirms batches of the copy stream.
-func (t *Table) Acknowledge(ack message.CopyAck) {}
+// Held returns the counts of flows on hosts outside the group, for the owners
+// of the groups that these hosts are in.
+func (t *Table) Held() []message.HostCount {
+	var held []message.HostCount
+	for _, h := range t.hosts.All() {
+		if h.Connections > 0 && !t.inGroup(h.ID) {
+			held = append(held, message.HostCount{
+				Host: h.ID, Connections: uint32(h.Connections), Slots: uint32(h.InProgress),
+			})
+		}
+	}
+	return held
+}
 
-// Pull returns one page of entries for the group's next owner. After the last
-// page the table places no new flows.
-func (t *Table) Pull(now time.Duration, cursor uint64, maxEntries int) message.PullReply {
-	return message.PullReply{Done: true}
+func (t *Table) inGroup(id snapshot.HostID) bool {
+	for _, h := range t.cfg.Group.Hosts {
+		if h.ID == id {
+			return true
+		}
+	}
+	return false
 }
 
-// Import adds entries of another instance. An entry with the same key and ISN is left as it is.
-func (t *Table) Import(now time.Duration, entries []message.Entry) {}
+// gone reports whether a host has left the published lists of the service.
+func (t *Table) gone(id snapshot.HostID) bool {
+	h := t.cfg.Snapshot.Hosts[id]
+	return h == nil || h.Service != t.cfg.Group.ID.Service
+}
 
 // Placing reports whether the table still places new flows.
-func (t *Table) Placing() bool { return true }
+func (t *Table) Placing() bool { return !t.pull.done }
 
 // Epoch is the epoch of the claim that the table was made for.
 func (t *Table) Epoch() uint64 { return t.cfg.Epoch }
-
-// Stats are counts for metrics and status.
-type Stats struct {
-	Flows, Backlog int // open entries; entries waiting to be copied
-	Hosts          []HostStats
-}
-
-// HostStats are the counts of one host.
-type HostStats struct {
-	Host               snapshot.HostID
-	Connections, Slots int
-	Weight             float64
-	Usable             bool
-	Why                string // why it is not usable
-}
-
-// Stats returns the present counts.
-func (t *Table) Stats(now time.Duration) Stats { return Stats{} }
-
-// Explain tells where the flow goes and why, without changing anything.
-func (t *Table) Explain(now time.Duration, k flow.Key, kind snapshot.KindID) string { return "" }
-
-// Copies are the copies that the backup of a group holds.
-type Copies struct{}
-
-// NewCopies returns an empty set of copies for one group.
-func NewCopies() *Copies { return &Copies{} }
-
-// Apply adds a batch and returns what to confirm, or false when the batch has
-// to be sent again from an earlier one.
-func (c *Copies) Apply(now time.Duration, b *message.CopyBatch) (message.CopyAck, bool) {
-	return message.CopyAck{}, false
-}
-
-// Promote returns the copies and the base list they are relative to, for the
-// Table of the new owner.
-func (c *Copies) Promote(now time.Duration) (entries []message.Entry, base []snapshot.HostID, epoch uint64) {
-	return nil, nil, 0
-}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -79,7 +79,12 @@
 	ISN uint32
 	// Established is true once the caller has acknowledged the host's SYN.
 	Established bool
-	Age         time.Duration // since the SYN
+	// Closing is true once the caller has sent a FIN; the flow no longer
+	// counts as in progress.
+	Closing bool
+	// Ended marks an entry of an earlier page of a pull that has ended since.
+	Ended bool
+	Age   time.Duration // since the SYN
 }
 
 // Learn tells the first owner of a flow what an asked instance knows of it.
--- /dev/null
+++ b/core/place/host.go
@@ -0,0 +1,196 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+const (
+	// startWeight is the part of its capacity that a cold host begins with.
+	startWeight   = 0.1
+	defaultWarmUp = 30 * time.Second
+
+	// minLoadFactor is the least that load reports can lower a weight to,
+	// since a misleading report must not take a host out of use.
+	minLoadFactor = 0.25
+	// loadTrust is the age at which a load report has lost half its effect.
+	loadTrust = 2 * time.Second
+	// loadSlack is by how much a report may exceed the owner's own count
+	// before it lowers the weight. Reports lag by about a second, in which
+	// the few slots of a host fill and empty many times.
+	loadSlack = 0.5
+
+	// failLimit is the number of consecutive failed new flows that ejects a host.
+	failLimit   = 3
+	ejectBase   = 5 * time.Second
+	ejectMax    = 5 * time.Minute
+	probeMisses = 3 // unanswered probes after which a host counts as failed
+
+	// estimateWeight is the number of requests that the estimate of the time
+	// in a slot remembers.
+	estimateWeight = 32
+)
+
+// Failure is the way in which a new flow failed.
+type Failure uint8
+
+// Failures. They are counted apart, since a host whose program hangs still
+// completes handshakes.
+const (
+	FailedHandshake Failure = iota
+	FailedData
+)
+
+// Host is the owner's knowledge of one host.
+type Host struct {
+	*snapshot.Host
+	Connections, InProgress int // open flows of this owner
+	Use                     [math.MaxUint8 + 1]int32
+
+	foreignConns, foreignSlots int // held by other instances
+
+	listed    bool          // still in the group
+	warmStart time.Duration // when slow start began
+	warming   bool
+
+	report     message.LoadReport
+	reportedAt time.Duration
+	excess     float64 // reported load beyond the owner's own count
+	missed     int
+	wordSince  time.Duration // since when its own word is against it
+	wordBad    bool
+	wordOut    bool // taken out on its own word
+
+	fails        [2]int // consecutive failed new flows, by Failure
+	ejections    int
+	ejected      bool
+	ejectedUntil time.Duration
+	LastAdvance  time.Duration // last acknowledgement progress of any flow
+
+	busy      time.Duration // time in slots of the remembered requests
+	done      float64       // number of these
+	busySince time.Duration
+}
+
+func (h *Host) slots() int { return max(h.Slots, 1) }
+
+// Slotted returns the requests in progress, those of other instances included.
+func (h *Host) Slotted() int { return h.InProgress + h.foreignSlots }
+
+// Connected returns the open connections, those of other instances included.
+func (h *Host) Connected() int { return h.Connections + h.foreignConns }
+
+func (h *Host) places() int { return h.slots() + h.Queue }
+
+// Why returns why the host takes no new flows, or "" when it does.
+func (h *Host) Why() string {
+	switch {
+	case !h.listed:
+		return "not in the group"
+	case h.State == snapshot.HostDraining:
+		return "draining"
+	case h.wordOut && h.report.Draining:
+		return "draining by its own word"
+	case h.wordOut:
+		return "health probe failed"
+	case h.ejected:
+		return "ejected"
+	}
+	return ""
+}
+
+// Usable reports whether the host takes new flows.
+func (h *Host) Usable() bool {
+	return h.listed && h.State != snapshot.HostDraining && !h.wordOut && !h.ejected
+}
+
+// slowStart returns the part of its capacity that a host may use now.
+func (h *Host) slowStart(now time.Duration) float64 {
+	if !h.warming {
+		return 1
+	}
+	warm := h.WarmUp
+	if warm <= 0 {
+		warm = defaultWarmUp
+	}
+	part := startWeight + (1-startWeight)*float64(now-h.warmStart)/float64(warm)
+	if part >= 1 {
+		h.warming = false
+		return 1
+	}
+	return part
+}
+
+// loadFactor lowers the weight of a host that reports more load than this
+// owner gives it, such as work that comes by other ways.
+func (h *Host) loadFactor(now time.Duration) float64 {
+	if h.excess <= loadSlack {
+		return 1
+	}
+	trust := math.Exp2(-float64(now-h.reportedAt) / float64(loadTrust))
+	return math.Max(minLoadFactor, 1-h.excess*trust)
+}
+
+// Weight is the published capacity x slow start x load factor. The load factor
+// applies to slots only: a load report of this second says nothing of the
+// hours that a feed stays open.
+func (h *Host) Weight(now time.Duration, o snapshot.Occupancy) float64 {
+	w := h.Capacity * h.slowStart(now)
+	if o == snapshot.OccupiesSlot {
+		w *= h.loadFactor(now)
+	}
+	return w
+}
+
+// account adds the time that slots were busy since the last change.
+func (h *Host) account(now time.Duration) {
+	if n := min(h.InProgress, h.slots()); n > 0 {
+		h.busy += time.Duration(n) * (now - h.busySince)
+	}
+	h.busySince = now
+}
+
+// Start counts a new flow.
+func (h *Host) Start(now time.Duration, k snapshot.KindID, slot bool) {
+	h.Connections++
+	h.Use[k]++
+	if slot {
+		h.account(now)
+		h.InProgress++
+	}
+}
+
+// End counts the end of a flow.
+func (h *Host) End(now time.Duration, k snapshot.KindID, slot bool) {
+	h.Connections--
+	h.Use[k]--
+	if !slot {
+		return
+	}
+	h.account(now)
+	h.InProgress--
+	h.done++
+	if h.done > estimateWeight {
+		h.busy = time.Duration(float64(h.busy) * estimateWeight / h.done)
+		h.done = estimateWeight
+	}
+}
+
+// TimeInSlot estimates the mean time that a request takes of a slot: the time
+// that slots were busy over the requests that ended meanwhile. expected counts
+// like one request, so that a host starts from the configured value.
+func (h *Host) TimeInSlot(expected time.Duration) time.Duration {
+	return time.Duration(float64(h.busy+expected) / (h.done + 1))
+}
+
+// Wait estimates how long a new request waits for a slot.
+func (h *Host) Wait(expected time.Duration) time.Duration {
+	ahead := h.Slotted() - h.slots() + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return h.TimeInSlot(expected) * time.Duration(ahead) / time.Duration(h.slots())
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,273 @@
+// Package place chooses the host of a new flow within a host group, from the
+// owner's own counts of open flows, the published capacities and states, and
+// what hosts say of themselves, which may lag or mislead.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// Set is the hosts of one group, and hosts that have left it while flows are
+// open on them.
+type Set struct {
+	hosts   []*Host
+	foreign map[snapshot.InstanceID]foreignCounts
+}
+
+type foreignCounts struct {
+	at     time.Duration
+	counts []message.HostCount
+}
+
+// foreignFor is how long the counts of another instance are believed without
+// being repeated. They come with its heartbeats.
+const foreignFor = 10 * time.Second
+
+// New returns the hosts of a group. None is taken as cold, since an owner that
+// takes a group over knows nothing of their past.
+func New(hosts []*snapshot.Host) *Set {
+	s := &Set{foreign: make(map[snapshot.InstanceID]foreignCounts)}
+	for _, h := range hosts {
+		s.hosts = append(s.hosts, &Host{Host: h, listed: true})
+	}
+	return s
+}
+
+// All returns the hosts; it must not be changed.
+func (s *Set) All() []*Host { return s.hosts }
+
+// Find returns the host with the given number or nil.
+func (s *Set) Find(id snapshot.HostID) *Host {
+	for _, h := range s.hosts {
+		if h.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// Update takes a new list of the group's hosts. isNew tells hosts that were
+// not published before, which start slowly. A host that left the group is kept
+// while it has open flows.
+func (s *Set) Update(now time.Duration, hosts []*snapshot.Host, isNew func(snapshot.HostID) bool) {
+	for _, h := range s.hosts {
+		h.listed = false
+	}
+	for _, n := range hosts {
+		h := s.Find(n.ID)
+		if h == nil {
+			h = &Host{warming: isNew(n.ID), warmStart: now}
+			s.hosts = append(s.hosts, h)
+		}
+		h.Host, h.listed = n, true
+	}
+	s.forget()
+	s.sumForeign()
+	s.review()
+}
+
+// forget drops hosts that have left the group and hold no more flows.
+func (s *Set) forget() {
+	s.hosts = slices.DeleteFunc(s.hosts, func(h *Host) bool { return !h.listed && h.Connections == 0 })
+}
+
+// Hold returns the host, adding it as one outside the group when needed.
+func (s *Set) Hold(h *snapshot.Host) *Host {
+	if f := s.Find(h.ID); f != nil {
+		return f
+	}
+	s.hosts = append(s.hosts, &Host{Host: h})
+	return s.hosts[len(s.hosts)-1]
+}
+
+func (s *Set) size() int {
+	n := 0
+	for _, h := range s.hosts {
+		if h.listed {
+			n++
+		}
+	}
+	return n
+}
+
+// Report takes what a host says of itself.
+func (s *Set) Report(now time.Duration, id snapshot.HostID, r message.LoadReport) {
+	h := s.Find(id)
+	if h == nil {
+		return
+	}
+	if r.Failed {
+		h.missed++
+	} else {
+		h.missed = 0
+		h.report, h.reportedAt = r, now
+		h.excess = r.Load - min(1, float64(h.Slotted())/float64(h.slots()))
+		if r.Cold && !h.warming {
+			h.warming, h.warmStart = true, now
+		}
+	}
+	bad := h.report.Draining || h.missed >= probeMisses
+	if bad && !h.wordBad {
+		h.wordSince = now
+	}
+	h.wordBad = bad
+	s.review()
+}
+
+// review settles which hosts are out on their own word: the first to say so,
+// up to half of the group.
+func (s *Set) review() {
+	var said []*Host
+	for _, h := range s.hosts {
+		h.wordOut = false
+		if h.listed && h.wordBad {
+			said = append(said, h)
+		}
+	}
+	slices.SortStableFunc(said, func(a, b *Host) int { return cmp.Compare(a.wordSince, b.wordSince) })
+	for _, h := range said[:min(len(said), s.size()/2)] {
+		h.wordOut = true
+	}
+}
+
+// Accepted notes that the host completed the handshake of a flow. That shows
+// its kernel to be alive, not the program behind it.
+func (s *Set) Accepted(now time.Duration, h *Host) {
+	h.fails[FailedHandshake] = 0
+	h.LastAdvance = now
+}
+
+// Advanced notes acknowledgement progress of a flow on the host.
+func (s *Set) Advanced(now time.Duration, h *Host) {
+	h.fails = [2]int{}
+	h.ejections = 0
+	h.LastAdvance = now
+}
+
+// Failed notes a new flow without progress. It reports whether the host was
+// ejected for it.
+func (s *Set) Failed(now time.Duration, h *Host, f Failure) bool {
+	h.fails[f]++
+	if h.ejected || h.fails[f] < failLimit || !s.mayEject() {
+		return false
+	}
+	h.ejected = true
+	h.ejectedUntil = now + min(ejectMax, ejectBase<<min(h.ejections, 10))
+	h.ejections++
+	return true
+}
+
+// mayEject keeps ejections to a third of the group. Groups lie within one
+// domain, so this holds for the domain as well.
+func (s *Set) mayEject() bool {
+	n := 1
+	for _, h := range s.hosts {
+		if h.listed && h.ejected {
+			n++
+		}
+	}
+	return n*3 <= s.size()
+}
+
+// Tick readmits ejected hosts whose time is over and forgets old foreign
+// counts and hosts that have left. It reports whether the usable hosts changed.
+func (s *Set) Tick(now time.Duration) bool {
+	s.forget()
+	changed := false
+	for _, h := range s.hosts {
+		if h.ejected && now >= h.ejectedUntil {
+			// One more failure ejects it again, for twice as long.
+			h.ejected = false
+			h.fails = [2]int{failLimit - 1, failLimit - 1}
+			changed = true
+		}
+	}
+	for from, f := range s.foreign {
+		if now-f.at > foreignFor {
+			delete(s.foreign, from)
+			s.sumForeign()
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Foreign takes the counts of flows that another instance holds on the hosts.
+func (s *Set) Foreign(now time.Duration, from snapshot.InstanceID, counts []message.HostCount) {
+	if len(counts) == 0 {
+		delete(s.foreign, from)
+	} else {
+		s.foreign[from] = foreignCounts{now, slices.Clone(counts)}
+	}
+	s.sumForeign()
+}
+
+func (s *Set) sumForeign() {
+	for _, h := range s.hosts {
+		h.foreignConns, h.foreignSlots = 0, 0
+	}
+	for _, f := range s.foreign {
+		for _, c := range f.counts {
+			if h := s.Find(c.Host); h != nil {
+				h.foreignConns += int(c.Connections)
+				h.foreignSlots += int(c.Slots)
+			}
+		}
+	}
+}
+
+// Capacity returns the capacity of the usable hosts and what is free of it.
+func (s *Set) Capacity(o snapshot.Occupancy) (capacity, free int) {
+	for _, h := range s.hosts {
+		if !h.Usable() {
+			continue
+		}
+		if o == snapshot.OccupiesSlot {
+			capacity += h.places()
+			free += max(0, h.places()-h.Slotted())
+		} else {
+			capacity += h.Host.Connections
+			free += max(0, h.Host.Connections-h.Connected())
+		}
+	}
+	return capacity, free
+}
+
+// Choose returns the least loaded usable host with room for a flow, or nil.
+// Load counts the new flow too, so that an idle cold host does not look like
+// an idle warm one. preferred wins ties and, for a slot kind, when it has a
+// slot free within its weight.
+func (s *Set) Choose(now time.Duration, o snapshot.Occupancy, preferred snapshot.HostID) *Host {
+	var best *Host
+	var least float64
+	for _, h := range s.hosts {
+		if !h.Usable() || !h.hasRoom(o) {
+			continue
+		}
+		w := h.Weight(now, o)
+		n := h.Connected() + 1
+		if o == snapshot.OccupiesSlot {
+			n = h.Slotted() + 1
+			if h.ID == preferred && float64(n) <= float64(h.slots())*w/h.Capacity {
+				return h
+			}
+		}
+		load := float64(n) / w
+		if best == nil || load < least || load == least && h.ID == preferred {
+			best, least = h, load
+		}
+	}
+	return best
+}
+
+func (h *Host) hasRoom(o snapshot.Occupancy) bool {
+	if h.Connected() >= h.Host.Connections {
+		return false
+	}
+	return o != snapshot.OccupiesSlot || h.Slotted() < h.places()
+}
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,236 @@
+// Package table is a flow table: one entry a flow, found by its key. It is
+// divided into segments that grow and shrink one at a time, so that no call
+// pays for moving more than one segment. It is not safe for concurrent use.
+package table
+
+import (
+	"cmp"
+	"slices"
+
+	"egrettack.example/core/flow"
+)
+
+const (
+	segmentBits = 10
+	segments    = 1 << segmentBits
+	// hashBits leaves the top bit of a cursor to the user of Walk.
+	hashBits = 63
+	seed     = 0x666c6f7773
+
+	minSlots = 8
+	// Growing by a quarter at a fill of 7/8 keeps the mean fill at about 0.8.
+	// Doubling would halve the fill right after growth.
+	fillNum, fillDen = 7, 8
+	growNum, growDen = 5, 4
+)
+
+// segment is an open-addressing table with linear probing. tags holds a byte
+// of each entry's hash with the top bit set, 0 for a free slot; probing reads
+// tags only, so that a miss touches one or two cache lines.
+type segment struct {
+	tags    []uint8
+	entries []Entry
+	used    int
+}
+
+// Table holds the entries.
+type Table struct {
+	segs   [segments]segment
+	count  int
+	slots  int
+	sweepS int // segment and slot where Sweep goes on
+	sweepI int
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{} }
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return t.count }
+
+// Slots returns the number of slots, free ones included.
+func (t *Table) Slots() int { return t.slots }
+
+func hashOf(k flow.Key) uint64 { return k.Hash(seed) >> (64 - hashBits) }
+
+func tagOf(h uint64) uint8 { return uint8(h>>40) | 0x80 }
+
+func home(h uint64, n int) int { return int(uint64(uint32(h)) * uint64(n) >> 32) }
+
+func (t *Table) segment(h uint64) *segment { return &t.segs[h>>(hashBits-segmentBits)] }
+
+// Find returns the entry of k or nil. The pointer is valid until the next
+// Insert, Delete or Sweep.
+func (t *Table) Find(k flow.Key) *Entry {
+	h := hashOf(k)
+	s := t.segment(h)
+	if i := s.find(h, &k); i >= 0 {
+		return &s.entries[i]
+	}
+	return nil
+}
+
+func (s *segment) find(h uint64, k *flow.Key) int {
+	n := len(s.tags)
+	if n == 0 {
+		return -1
+	}
+	tag := tagOf(h)
+	for i := home(h, n); ; {
+		switch s.tags[i] {
+		case 0:
+			return -1
+		case tag:
+			if s.entries[i].is(k) {
+				return i
+			}
+		}
+		if i++; i == n {
+			i = 0
+		}
+	}
+}
+
+// Insert returns the entry of k, and true when it was added with zero fields.
+func (t *Table) Insert(k flow.Key) (*Entry, bool) {
+	h := hashOf(k)
+	s := t.segment(h)
+	if i := s.find(h, &k); i >= 0 {
+		return &s.entries[i], false
+	}
+	if (s.used+1)*fillDen > len(s.tags)*fillNum {
+		t.resize(s, max(minSlots, len(s.tags)*growNum/growDen+1))
+	}
+	i := s.free(h)
+	s.tags[i] = tagOf(h)
+	s.entries[i] = Entry{}
+	s.entries[i].setKey(k)
+	s.used++
+	t.count++
+	return &s.entries[i], true
+}
+
+func (s *segment) free(h uint64) int {
+	i := home(h, len(s.tags))
+	for s.tags[i] != 0 {
+		if i++; i == len(s.tags) {
+			i = 0
+		}
+	}
+	return i
+}
+
+func (t *Table) resize(s *segment, n int) {
+	old := *s
+	s.tags, s.entries = make([]uint8, n), make([]Entry, n)
+	for i, tag := range old.tags {
+		if tag != 0 {
+			j := s.free(hashOf(old.entries[i].Key()))
+			s.tags[j], s.entries[j] = tag, old.entries[i]
+		}
+	}
+	t.slots += n - len(old.tags)
+}
+
+// Delete removes the entry of k and reports whether there was one.
+func (t *Table) Delete(k flow.Key) bool {
+	h := hashOf(k)
+	s := t.segment(h)
+	i := s.find(h, &k)
+	if i < 0 {
+		return false
+	}
+	s.remove(i)
+	t.count--
+	return true
+}
+
+// remove frees slot i and moves later entries of the same run back, so that no
+// tombstones are needed.
+func (s *segment) remove(i int) {
+	n := len(s.tags)
+	for j := i; ; {
+		if j++; j == n {
+			j = 0
+		}
+		if s.tags[j] == 0 {
+			break
+		}
+		h := home(hashOf(s.entries[j].Key()), n)
+		// The entry at j may move to i unless its home lies between them.
+		if (j-h+n)%n >= (j-i+n)%n {
+			s.tags[i], s.entries[i] = s.tags[j], s.entries[j]
+			i = j
+		}
+	}
+	s.tags[i] = 0
+	s.used--
+}
+
+// Sweep visits the entries in the next n slots, going round the table over
+// many calls, and removes those for which expired returns true. expired must
+// not call the table. Sparse segments shrink once they have been passed.
+func (t *Table) Sweep(n int, expired func(*Entry) bool) {
+	for skipped := 0; n > 0 && skipped <= segments; n-- {
+		s := &t.segs[t.sweepS]
+		for ; t.sweepI < len(s.tags) && n > 0; n-- {
+			i := t.sweepI
+			if s.tags[i] != 0 && expired(&s.entries[i]) {
+				s.remove(i)
+				t.count--
+				continue // another entry may have moved to this slot
+			}
+			t.sweepI++
+		}
+		if t.sweepI < len(s.tags) {
+			return
+		}
+		t.shrink(s)
+		t.sweepS, t.sweepI = (t.sweepS+1)%segments, 0
+		skipped++
+	}
+}
+
+func (t *Table) shrink(s *segment) {
+	switch {
+	case s.used == 0 && len(s.tags) > 0:
+		t.slots -= len(s.tags)
+		*s = segment{}
+	case len(s.tags) > 2*minSlots && s.used*4 < len(s.tags):
+		t.resize(s, max(minSlots, s.used*2))
+	}
+}
+
+// Walk visits entries in the order of their hashes, from cursor 0, until visit
+// has been called for about n entries. It returns the cursor to go on from and
+// whether there is more. An entry that is in the table during the whole walk
+// is visited exactly once, whatever is inserted or removed between calls. The
+// cursor stays below 1<<63. visit must not call the table.
+func (t *Table) Walk(cursor uint64, n int, visit func(*Entry)) (next uint64, more bool) {
+	type at struct {
+		hash uint64
+		slot int
+	}
+	var order []at
+	for g := cursor >> (hashBits - segmentBits); g < segments; g++ {
+		s := &t.segs[g]
+		order = order[:0]
+		for i, tag := range s.tags {
+			if tag != 0 {
+				if h := hashOf(s.entries[i].Key()); h >= cursor {
+					order = append(order, at{h, i})
+				}
+			}
+		}
+		slices.SortFunc(order, func(a, b at) int { return cmp.Compare(a.hash, b.hash) })
+		for j, o := range order {
+			// Entries with equal hashes must not be parted by a page.
+			if n <= 0 && (j == 0 || order[j-1].hash != o.hash) {
+				return o.hash, true
+			}
+			visit(&s.entries[o.slot])
+			n--
+		}
+	}
+	return 0, false
+}
