Add membership and a first engine

Cause: the exported signatures of core/engine did nothing. Change: core/member joins the published list with heartbeats and builds an immutable view with ranked owners and claims. core/engine routes packets to owners, claims groups at boot, pulls them on a planned change, promotes copies on takeover and schedules heartbeats, copies and fetches.

--- /dev/null
+++ b/core/engine/boot_test.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+func smallInput(version snapshot.Version) snapshot.Input {
+	in := snapshot.Input{Version: version, Domains: []snapshot.Domain{{ID: 1, Name: "north"}, {ID: 2, Name: "south"}}}
+	kind := &snapshot.Kind{
+		ID: 1, Name: "feed", Ceiling: 1, Idle: time.Hour,
+		Endpoints: []snapshot.Endpoint{{Addr: 1, Port: 80, Proto: flow.TCP}},
+	}
+	in.Services = []snapshot.Service{{ID: 1, Name: "register", Kinds: []*snapshot.Kind{kind}}}
+	for i := range 12 {
+		in.Hosts = append(in.Hosts, snapshot.Host{
+			ID: snapshot.HostID(i + 1), Domain: snapshot.DomainID(i%2 + 1), Service: 1,
+			Slots: 2, Connections: 2000, Queue: 10,
+		})
+	}
+	for i := range 4 {
+		in.Instances = append(in.Instances, snapshot.Instance{
+			ID: snapshot.InstanceID(i + 1), Domain: snapshot.DomainID(i%2 + 1),
+			Data: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+		})
+	}
+	return in
+}
+
+// Guards against groups that stay without an owner, or get two, after a start
+// of all instances.
+func TestBootClaimsEachGroupOnce(t *testing.T) {
+	s, err := snapshot.New(smallInput(1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	engines := make(map[snapshot.InstanceID]*Engine)
+	for id, inst := range s.Instances {
+		engines[id] = New(0, Config{Self: id, Domain: inst.Domain, Boot: 1, Seed: uint64(id)})
+		engines[id].SetSnapshot(0, s)
+	}
+	for now := time.Duration(0); now < 5*time.Second; now += TickInterval {
+		for id := snapshot.InstanceID(1); id <= 4; id++ {
+			for _, o := range engines[id].Tick(now) {
+				switch to := engines[o.To.ID]; {
+				case o.Heartbeat != nil:
+					to.Heartbeat(now, o.Heartbeat)
+				case o.Pull != nil:
+					reply, err := to.Pull(now, o.Pull)
+					engines[id].PullDone(now, o.Pull, &reply, err)
+				}
+			}
+		}
+	}
+	owners := make(map[snapshot.GroupID]int)
+	for id, e := range engines {
+		st := e.Status(5 * time.Second)
+		if st.State != message.Ready {
+			t.Errorf("instance %d is %s", id, st.State)
+		}
+		for _, g := range st.Groups {
+			if g.Role == "owner" {
+				owners[g.Group]++
+			}
+		}
+	}
+	for id := range s.Groups {
+		if owners[id] != 1 {
+			t.Errorf("group %s has %d owners", id, owners[id])
+		}
+	}
+	p := &flow.Packet{Key: flow.Key{Src: 9, SrcPort: 1000, Dst: 1, DstPort: 80, Proto: flow.TCP}, Flags: flow.SYN}
+	for _, e := range engines {
+		a := e.Packet(5*time.Second, p, nil)
+		if a.Verdict == Drop && a.Reason != group.ReasonNone {
+			t.Errorf("SYN dropped: %s", a.Reason)
+		}
+	}
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,10 +8,13 @@
 package engine
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"egrettack.example/core/flow"
 	"egrettack.example/core/group"
+	"egrettack.example/core/member"
 	"egrettack.example/core/message"
 	"egrettack.example/core/snapshot"
 )
@@ -69,55 +72,78 @@
 // Engine is the state of one instance. All methods may be called concurrently.
 // Times are monotonic, since the start of the process.
 type Engine struct {
-	cfg Config
+	cfg      Config
+	view     atomic.Pointer[member.View]
+	groups   atomic.Pointer[map[snapshot.GroupID]*local]
+	lastTick atomic.Int64  // time of the last Tick
+	wanted   atomic.Uint64 // newest version seen in relay headers
+
+	// mu guards what follows. It is taken before a group mutex, never by
+	// Packet, and never while a group mutex is held.
+	mu      sync.Mutex
+	tracker *member.Tracker
+	order   []*local // the values of groups, sorted
+	turn    int      // group whose copies go first
+	tokens  float64  // bytes that copies may take
+	filled  time.Duration
+	behind  time.Duration                     // since when a peer has a newer snapshot, 0 if none
+	fetched time.Duration                     // last Output.Fetch
+	counted time.Duration                     // last collection of foreign counts
+	foreign map[snapshot.InstanceID]bool      // peers that reported counts last time
+	probed  map[snapshot.HostID]time.Duration // last answered probe
 }
 
 // New returns an engine in state Joining without a snapshot.
-func New(now time.Duration, cfg Config) *Engine { return &Engine{cfg: cfg} }
-
-// SetSnapshot takes a snapshot into force. An older one than that in force is
-// refused and false returned.
-func (e *Engine) SetSnapshot(now time.Duration, s *snapshot.Snapshot) bool { return false }
-
-// Snapshot returns the snapshot in force, or nil.
-func (e *Engine) Snapshot() *snapshot.Snapshot { return nil }
-
-// Packet decides on one packet. relay is nil for packets from the fabric.
-func (e *Engine) Packet(now time.Duration, p *flow.Packet, relay *Relay) Action {
-	return Action{Verdict: Drop, Reason: group.ReasonStale}
+func New(now time.Duration, cfg Config) *Engine {
+	if cfg.Budget <= 0 {
+		cfg.Budget = DefaultBudget
+	}
+	e := &Engine{
+		cfg: cfg,
+		tracker: member.New(now, member.Config{
+			Self: cfg.Self, Domain: cfg.Domain, Boot: cfg.Boot, Seed: cfg.Seed,
+		}),
+		filled:  now,
+		foreign: make(map[snapshot.InstanceID]bool),
+		probed:  make(map[snapshot.HostID]time.Duration),
+	}
+	e.groups.Store(&map[snapshot.GroupID]*local{})
+	e.lastTick.Store(int64(now))
+	return e
 }
 
-// Heartbeat takes a peer's heartbeat.
-func (e *Engine) Heartbeat(now time.Duration, h *message.Heartbeat) {}
-
-// Learn takes what an asked instance holds.
-func (e *Engine) Learn(now time.Duration, l *message.Learn) {}
-
-// CopyBatch takes copies as the backup of a group.
-func (e *Engine) CopyBatch(now time.Duration, b *message.CopyBatch) (message.CopyAck, bool) {
-	return message.CopyAck{}, false
+// SetSnapshot takes a snapshot into force. It returns false, and changes
+// nothing, unless the snapshot is newer than that in force.
+func (e *Engine) SetSnapshot(now time.Duration, s *snapshot.Snapshot) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v := e.view.Load(); v != nil && s.Version <= v.Snapshot.Version {
+		return false
+	}
+	e.tracker.SetSnapshot(now, s)
+	e.publish()
+	for _, l := range e.order {
+		l.update(now, s)
+	}
+	return true
 }
 
-// CopyAck takes a backup's confirmation.
-func (e *Engine) CopyAck(now time.Duration, a *message.CopyAck) {}
-
-// Pull serves one page of a group's entries to its next owner.
-func (e *Engine) Pull(now time.Duration, r *message.PullRequest) (message.PullReply, error) {
-	return message.PullReply{}, nil
+// Snapshot returns the snapshot in force, or nil.
+func (e *Engine) Snapshot() *snapshot.Snapshot {
+	if v := e.view.Load(); v != nil {
+		return v.Snapshot
+	}
+	return nil
 }
 
-// PullDone delivers one page that an earlier Output.Pull asked for, or the
-// error of the call.
-func (e *Engine) PullDone(now time.Duration, r *message.PullRequest, reply *message.PullReply, err error) {
+// publish puts the present view into force.
+func (e *Engine) publish() {
+	if v := e.tracker.View(); v != e.view.Load() {
+		e.view.Store(v)
+	}
 }
 
-// Report takes the answer of a host's health endpoint.
-func (e *Engine) Report(now time.Duration, h snapshot.HostID, r message.LoadReport) {}
-
-// ProbeTargets returns the hosts that this instance has to probe now.
-func (e *Engine) ProbeTargets(now time.Duration) []*snapshot.Host { return nil }
-
-// Output is work that the engine wants done. Exactly one field is set.
+// Output is work that the engine wants done. Exactly one field is set beside To.
 type Output struct {
 	To        *snapshot.Instance // receiver of Heartbeat, Copies and Pull, source of Fetch
 	Heartbeat *message.Heartbeat
@@ -132,47 +158,8 @@
 // between two calls means that the process was paused.
 const (
 	TickInterval = 50 * time.Millisecond
-	StaleGap     = time.Second
+	StaleGap     = member.StaleGap
 )
 
-// Tick drives time-outs and returns the work that is due.
-func (e *Engine) Tick(now time.Duration) []Output { return nil }
-
-// Leave starts the graceful stop: groups are handed over.
-func (e *Engine) Leave(now time.Duration) {}
-
-// Left reports whether all groups have been handed over after Leave.
-func (e *Engine) Left(now time.Duration) bool { return true }
-
-// Status is what operators see of one instance.
-type Status struct {
-	Self    snapshot.InstanceID
-	State   message.State
-	Stale   bool
-	Version snapshot.Version
-	Peers   []PeerStatus
-	Groups  []GroupStatus
-}
-
-// PeerStatus is one peer as this instance sees it.
-type PeerStatus struct {
-	Instance snapshot.InstanceID
-	State    message.State
-	Version  snapshot.Version
-	Heard    time.Duration // since the last heartbeat
-}
-
-// GroupStatus is one group this instance owns or holds copies of.
-type GroupStatus struct {
-	Group  snapshot.GroupID
-	Role   string // owner, pulling, handed_over, backup
-	Epoch  uint64
-	Copies int
-	Stats  group.Stats
-}
-
-// Status returns the present state.
-func (e *Engine) Status(now time.Duration) Status { return Status{} }
-
-// Explain tells where a flow goes and why.
-func (e *Engine) Explain(now time.Duration, k flow.Key) string { return "" }
+// DefaultBudget is the limit of control traffic in bytes a second.
+const DefaultBudget = 9000
--- /dev/null
+++ b/core/engine/status.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/member"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// Status is what operators see of one instance.
+type Status struct {
+	Self    snapshot.InstanceID
+	State   message.State
+	Stale   bool
+	Version snapshot.Version
+	Peers   []PeerStatus
+	Groups  []GroupStatus
+}
+
+// PeerStatus is one peer as this instance sees it.
+type PeerStatus struct {
+	Instance snapshot.InstanceID
+	State    message.State
+	Version  snapshot.Version
+	Heard    time.Duration // since the last heartbeat
+}
+
+// GroupStatus is one group this instance owns or holds copies of.
+type GroupStatus struct {
+	Group  snapshot.GroupID
+	Role   string // owner, pulling, handed_over, backup
+	Epoch  uint64
+	Copies int
+	Stats  group.Stats
+}
+
+// Status returns the present state.
+func (e *Engine) Status(now time.Duration) Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := Status{Self: e.cfg.Self, State: e.tracker.State()}
+	v := e.view.Load()
+	if v == nil {
+		return st
+	}
+	st.Stale, st.Version = e.stale(now, v), v.Snapshot.Version
+	for id, p := range v.Peers {
+		st.Peers = append(st.Peers, PeerStatus{
+			Instance: id, State: p.State, Version: e.tracker.Version(id), Heard: e.tracker.Heard(now, id),
+		})
+	}
+	slices.SortFunc(st.Peers, func(a, b PeerStatus) int { return cmp.Compare(a.Instance, b.Instance) })
+	for _, l := range e.order {
+		st.Groups = append(st.Groups, l.status(now))
+	}
+	return st
+}
+
+func (l *local) status(now time.Duration) GroupStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gs := GroupStatus{Group: l.id, Role: l.role.String(), Copies: l.copied}
+	if l.table != nil {
+		gs.Epoch, gs.Stats = l.table.Epoch(), l.table.Stats(now)
+	} else {
+		gs.Epoch = l.copyEpoch
+	}
+	return gs
+}
+
+// Explain tells where a flow goes and why.
+func (e *Engine) Explain(now time.Duration, k flow.Key) string {
+	v := e.view.Load()
+	if v == nil {
+		return "no snapshot is in force"
+	}
+	var b strings.Builder
+	w := work{now: now, p: &flow.Packet{Key: k}, v: v}
+	bind, ok := v.Snapshot.Lookup(endpoint(k))
+	if !ok {
+		return fmt.Sprintf("flow %s: destination %s is in no service of version %d; packets are dropped",
+			k, endpoint(k), v.Snapshot.Version)
+	}
+	w.bind = bind
+	w.route()
+	fmt.Fprintf(&b, "flow %s: service %s (%d), kind %s (%d), version %d\n",
+		k, bind.Service.Name, bind.Service.ID, bind.Kind.Name, bind.Kind.ID, v.Snapshot.Version)
+	if bind.Moved != 0 {
+		fmt.Fprintf(&b, "the address moved from service %d in version %d; packets without entry are dropped\n",
+			bind.From, bind.Moved)
+	}
+	for i, r := range bind.Service.Rank(k) {
+		if r >= 0 {
+			e.explainGroup(now, &b, &w, i+1, w.owners[r])
+		}
+	}
+	switch {
+	case w.first < 0:
+		b.WriteString("no group is reachable; packets are dropped\n")
+	case w.first != w.home:
+		fmt.Fprintf(&b, "new flows go to group %s, since the first cannot be reached\n", w.owners[w.first].ID)
+	}
+	if e.stale(now, v) {
+		b.WriteString("this instance is stale after a pause; it relays and decides nothing\n")
+	}
+	return b.String()
+}
+
+func (e *Engine) explainGroup(now time.Duration, b *strings.Builder, w *work, n int, o *member.Ownership) {
+	fmt.Fprintf(b, "group %d: %s, ranked owners %v", n, o.ID, o.Ranked)
+	switch {
+	case o.Target == nil:
+		b.WriteString(", not reachable")
+	case o.Claimant != 0:
+		fmt.Fprintf(b, ", claimed by %d with epoch %d", o.Claimant, o.Epoch)
+	default:
+		fmt.Fprintf(b, ", not claimed; relayed to %d", o.Target.ID)
+	}
+	if l := e.local(o.ID); l != nil {
+		l.mu.Lock()
+		fmt.Fprintf(b, "; here: %s", l.role)
+		if l.table != nil {
+			fmt.Fprintf(b, ", %s", l.table.Explain(now, w.p.Key, w.bind.Kind.ID))
+		}
+		l.mu.Unlock()
+	}
+	b.WriteByte('\n')
+}
--- /dev/null
+++ b/core/member/heartbeat.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// sender schedules heartbeats.
+type sender struct {
+	seq    uint64
+	round  uint64
+	next   time.Duration
+	last   time.Duration
+	every  time.Duration
+	tokens float64 // bytes that unscheduled heartbeats may take
+	filled time.Duration
+	urgent bool
+	rate   float64 // bytes a second of the last interval
+}
+
+func newSender(now time.Duration, seed uint64) sender {
+	// The first heartbeat leaves within one interval, at a phase of its own.
+	phase := time.Duration(seed%uint64(BaseInterval/time.Millisecond)) * time.Millisecond
+	return sender{next: now + phase, last: now - BaseInterval, every: BaseInterval, filled: now, urgent: true}
+}
+
+// Size is the estimated size of a heartbeat on the wire in bytes.
+func Size(h *message.Heartbeat) int {
+	return HeartbeatBytes + claimBytes*len(h.Claims) + countBytes*len(h.Foreign) + unrankedBytes*len(h.Unranked)
+}
+
+// Due returns a heartbeat and its recipients when one is due, else nil. The
+// interval grows with size and recipients so that Budget is kept.
+func (t *Tracker) Due(now time.Duration) (*message.Heartbeat, []*snapshot.Instance) {
+	s := &t.sender
+	s.tokens = min(Budget, s.tokens+Budget*(now-s.filled).Seconds())
+	s.filled = now
+	if t.snap == nil || now < s.next && !(s.urgent && now-s.last >= urgentGap) {
+		return nil, nil
+	}
+	h := t.heartbeat()
+	to := t.recipients()
+	bytes := float64(Size(h) * len(to))
+	if now < s.next && bytes > s.tokens {
+		return nil, nil
+	}
+	s.every = Interval(len(to), Size(h))
+	h.Every = s.every
+	s.rate = bytes / s.every.Seconds()
+	s.seq++
+	s.round++
+	h.Seq = s.seq
+	s.urgent = false
+	s.tokens = max(-Budget, s.tokens-bytes)
+	s.last, s.next = now, now+s.every
+	return h, to
+}
+
+// Rate is the present cost of heartbeats in bytes a second.
+func (t *Tracker) Rate() float64 { return t.sender.rate }
+
+// Interval is the time between heartbeats of size bytes to n recipients.
+func Interval(n, size int) time.Duration {
+	return max(BaseInterval, time.Duration(n*size)*time.Second/Budget)
+}
+
+func (t *Tracker) heartbeat() *message.Heartbeat {
+	h := &message.Heartbeat{
+		From: t.cfg.Self, Boot: t.cfg.Boot, State: t.state, Version: t.snap.Version,
+		Foreign: t.foreign,
+	}
+	for g, epoch := range t.own {
+		h.Claims = append(h.Claims, message.Claim{Group: g, Epoch: epoch})
+	}
+	slices.SortFunc(h.Claims, func(a, b message.Claim) int { return compareGroups(a.Group, b.Group) })
+	if !t.mesh() {
+		h.Unranked = t.unranked()
+	}
+	return h
+}
+
+func (t *Tracker) unranked() []snapshot.InstanceID {
+	var out []snapshot.InstanceID
+	for id, p := range t.peers {
+		if p.listed && p.inst.Domain == t.cfg.Domain && !eligible(p) {
+			out = append(out, id)
+		}
+	}
+	if t.state != message.Ready {
+		out = append(out, t.cfg.Self)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// recipients returns all peers of the domain and, of other domains, all or a
+// sample. The sample rotates, so that with domains of equal size each instance
+// hears exactly one of each other domain in each round, and a dead sender
+// costs its receiver one round only.
+func (t *Tracker) recipients() []*snapshot.Instance {
+	var own int
+	var to []*snapshot.Instance
+	others := make(map[snapshot.DomainID][]*snapshot.Instance)
+	for _, inst := range t.sorted() {
+		switch {
+		case inst.Domain == t.cfg.Domain:
+			if inst.ID < t.cfg.Self {
+				own++
+			}
+			to = appendOther(to, inst, t.cfg.Self)
+		case t.mesh():
+			to = append(to, inst)
+		default:
+			others[inst.Domain] = append(others[inst.Domain], inst)
+		}
+	}
+	return append(to, t.sample(own, others)...)
+}
+
+func appendOther(to []*snapshot.Instance, inst *snapshot.Instance, self snapshot.InstanceID) []*snapshot.Instance {
+	if inst.ID == self {
+		return to
+	}
+	return append(to, inst)
+}
+
+// sample picks CrossSample instances of other domains. own is the index of
+// this instance in its domain.
+func (t *Tracker) sample(own int, others map[snapshot.DomainID][]*snapshot.Instance) []*snapshot.Instance {
+	ids := make([]snapshot.DomainID, 0, len(others))
+	total := 0
+	for d, list := range others {
+		ids = append(ids, d)
+		total += len(list)
+	}
+	slices.Sort(ids)
+	var out []*snapshot.Instance
+	first := 0
+	if len(ids) > 0 {
+		first = int(t.sender.round) % len(ids)
+	}
+	for i := 0; len(out) < min(CrossSample, total); i++ {
+		d := ids[(first+i)%len(ids)]
+		list := others[d]
+		// The second pass over the domains takes the instance half-way round.
+		pass := i / len(ids)
+		at := (own + int(t.sender.round) + pass*(len(list)/2+1)) % len(list)
+		if pick := list[at]; !slices.Contains(out, pick) {
+			out = append(out, pick)
+		} else if i > 4*CrossSample*len(ids) {
+			break
+		}
+	}
+	return out
+}
+
+func (t *Tracker) sorted() []*snapshot.Instance {
+	list := make([]*snapshot.Instance, 0, len(t.peers)+1)
+	for _, p := range t.peers {
+		if p.listed || p.judged != message.Gone {
+			list = append(list, p.inst)
+		}
+	}
+	slices.SortFunc(list, func(a, b *snapshot.Instance) int { return int(a.ID) - int(b.ID) })
+	return list
+}
--- /dev/null
+++ b/core/member/tracker.go
@@ -0,0 +1,379 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// peer is the state of one other instance.
+type peer struct {
+	inst     *snapshot.Instance
+	listed   bool
+	heard    bool
+	boot     uint64
+	seq      uint64
+	since    time.Duration // first listed
+	last     time.Duration // last heartbeat, or the end of a pause of this process
+	every    time.Duration
+	announce message.State
+	judged   message.State
+	version  snapshot.Version
+	claims   []message.Claim
+}
+
+// domain is what this instance knows of one failure domain.
+type domain struct {
+	since    time.Duration
+	last     time.Duration
+	every    time.Duration
+	unranked []snapshot.InstanceID
+}
+
+// claim is the history of the claims of one group.
+type claim struct {
+	holder   snapshot.InstanceID // present claimant, 0 if none
+	epoch    uint64
+	previous snapshot.InstanceID
+	max      uint64
+}
+
+// Tracker is the membership state machine of one instance.
+type Tracker struct {
+	cfg      Config
+	snap     *snapshot.Snapshot
+	previous *snapshot.Snapshot
+	state    message.State
+	begun    time.Duration // first snapshot
+	peers    map[snapshot.InstanceID]*peer
+	domains  map[snapshot.DomainID]*domain
+	claims   map[snapshot.GroupID]*claim
+	own      map[snapshot.GroupID]uint64
+	foreign  []message.HostCount
+
+	lastTick  time.Duration
+	stale     bool
+	woke      time.Duration
+	sinceWoke map[snapshot.InstanceID]bool
+
+	sender sender
+	dirty  bool
+	view   *View
+}
+
+// New returns a tracker in state Joining.
+func New(now time.Duration, cfg Config) *Tracker {
+	return &Tracker{
+		cfg:      cfg,
+		peers:    make(map[snapshot.InstanceID]*peer),
+		domains:  make(map[snapshot.DomainID]*domain),
+		claims:   make(map[snapshot.GroupID]*claim),
+		own:      make(map[snapshot.GroupID]uint64),
+		lastTick: now,
+		sender:   newSender(now, cfg.Seed),
+	}
+}
+
+// SetSnapshot takes the list of instances of a newer snapshot.
+func (t *Tracker) SetSnapshot(now time.Duration, s *snapshot.Snapshot) {
+	if t.snap == nil {
+		t.begun = now
+	}
+	t.previous, t.snap = t.snap, s
+	for _, p := range t.peers {
+		p.listed = false
+	}
+	for id, inst := range s.Instances {
+		if id == t.cfg.Self {
+			continue
+		}
+		p := t.peers[id]
+		if p == nil {
+			p = &peer{since: now, every: BaseInterval}
+			t.peers[id] = p
+		}
+		p.inst, p.listed = inst, true
+		if t.domains[inst.Domain] == nil {
+			t.domains[inst.Domain] = &domain{since: now, every: BaseInterval}
+		}
+	}
+	t.judge(now)
+	t.dirty = true
+}
+
+// Heartbeat takes a peer's heartbeat. Those of unlisted instances are ignored,
+// since nothing but the list tells their domain and addresses; so are late
+// ones and those of an earlier process. It returns false for an ignored one.
+func (t *Tracker) Heartbeat(now time.Duration, h *message.Heartbeat) bool {
+	p := t.peers[h.From]
+	if p == nil || h.Boot < p.boot || h.Boot == p.boot && h.Seq <= p.seq {
+		return false
+	}
+	if h.Boot > p.boot && p.boot != 0 {
+		t.forget(h.From)
+	}
+	p.heard, p.boot, p.seq, p.last = true, h.Boot, h.Seq, now
+	p.every = BaseInterval
+	if h.Every > 0 {
+		p.every = min(h.Every, maxEvery)
+	}
+	if p.announce != h.State || !slices.Equal(p.claims, h.Claims) {
+		p.announce, p.claims = h.State, slices.Clone(h.Claims)
+		t.dirty = true
+	}
+	p.version = h.Version
+	t.hearDomain(now, p, h)
+	if t.stale && p.inst.Domain == t.cfg.Domain {
+		t.sinceWoke[h.From] = true
+	}
+	if p.judged != t.judgePeer(now, p) {
+		t.judge(now)
+	}
+	return true
+}
+
+func (t *Tracker) hearDomain(now time.Duration, p *peer, h *message.Heartbeat) {
+	d := t.domains[p.inst.Domain]
+	d.last, d.every = now, p.every
+	if p.inst.Domain == t.cfg.Domain || t.mesh() {
+		return
+	}
+	if !slices.Equal(d.unranked, h.Unranked) {
+		d.unranked = slices.Clone(h.Unranked)
+		t.judge(now)
+	}
+}
+
+// forget drops the claims of an instance that has started anew: it kept no
+// state, so nothing can be pulled from it.
+func (t *Tracker) forget(id snapshot.InstanceID) {
+	for _, c := range t.claims {
+		if c.holder == id {
+			c.holder, c.epoch = 0, 0
+		}
+		if c.previous == id {
+			c.previous = 0
+		}
+	}
+	t.dirty = true
+}
+
+// Tick drives time-outs. It is called at short intervals; a gap of over
+// StaleGap means that the process was paused and its view is old.
+func (t *Tracker) Tick(now time.Duration) {
+	if now-t.lastTick > StaleGap {
+		t.wake(now)
+	}
+	t.lastTick = now
+	if t.snap == nil {
+		return
+	}
+	t.judge(now)
+	if t.stale && t.fresh(now) {
+		t.stale, t.sinceWoke = false, nil
+		t.dirty = true
+	}
+	if t.state == message.Joining && !t.stale && t.joined(now) {
+		t.setState(message.Ready)
+	}
+}
+
+func (t *Tracker) setState(s message.State) {
+	t.state = s
+	t.dirty = true
+	t.sender.urgent = true
+}
+
+// Leave announces that the instance stops.
+func (t *Tracker) Leave() { t.setState(message.Leaving) }
+
+// wake begins the stale state. Peers that were alive before the pause get the
+// time to be heard again, else a woken process would think itself alone.
+func (t *Tracker) wake(now time.Duration) {
+	t.stale, t.woke = true, now
+	t.sinceWoke = make(map[snapshot.InstanceID]bool)
+	for _, p := range t.peers {
+		if p.heard && p.judged != message.Gone {
+			p.last = now
+		}
+	}
+	for _, d := range t.domains {
+		d.last = now
+	}
+	t.dirty = true
+}
+
+// fresh reports whether a woken process may decide again: it has heard more
+// than half of its domain's live peers, or has waited three intervals.
+func (t *Tracker) fresh(now time.Duration) bool {
+	live := 0
+	every := BaseInterval
+	for _, p := range t.peers {
+		if p.inst.Domain == t.cfg.Domain && p.heard && p.judged != message.Gone {
+			live++
+			every = max(every, p.every)
+		}
+	}
+	return live == 0 || 2*len(t.sinceWoke) > live || now-t.woke >= staleIntervals*every
+}
+
+// joined reports whether a joining instance has heard its domain's peers and
+// has their snapshot. Listed peers that stay silent are waited for only until
+// they count as gone, since the list lags.
+func (t *Tracker) joined(now time.Duration) bool {
+	for _, p := range t.peers {
+		if p.inst.Domain != t.cfg.Domain {
+			continue
+		}
+		if p.listed && !p.inst.Leaving && !p.heard && p.judged != message.Gone {
+			return false
+		}
+		if p.version > t.snap.Version && now-t.begun < freshLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// mesh reports whether all instances send heartbeats to one another.
+func (t *Tracker) mesh() bool { return len(t.snap.Instances) <= MeshLimit }
+
+// judge updates the state of all peers.
+func (t *Tracker) judge(now time.Duration) {
+	for id, p := range t.peers {
+		s := t.judgePeer(now, p)
+		if s != p.judged {
+			p.judged = s
+			t.dirty = true
+		}
+		if s == message.Gone && !p.listed {
+			delete(t.peers, id)
+			t.dirty = true
+		}
+	}
+}
+
+func (t *Tracker) judgePeer(now time.Duration, p *peer) message.State {
+	if p.inst.Domain != t.cfg.Domain && !t.mesh() {
+		return t.judgeSampled(now, p)
+	}
+	if !p.heard {
+		switch {
+		case !p.listed || now-p.since > late(missedGone, BaseInterval):
+			return message.Gone
+		default:
+			return message.Joining
+		}
+	}
+	switch silent := now - p.last; {
+	case silent > late(missedGone, p.every):
+		return message.Gone
+	case silent > late(missedSuspected, p.every):
+		return message.Suspected
+	case !p.listed && p.announce == message.Ready:
+		// The list is what all instances rank by; an unlisted one still serves
+		// what it claims.
+		return message.Leaving
+	}
+	return p.announce
+}
+
+// judgeSampled judges an instance of another domain of which only a sample of
+// heartbeats is heard: by the list, by what the domain says of it, and by
+// whether the domain is heard at all.
+func (t *Tracker) judgeSampled(now time.Duration, p *peer) message.State {
+	if !p.listed {
+		return message.Gone
+	}
+	d := t.domains[p.inst.Domain]
+	if now-max(d.last, d.since) > late(missedSuspected, d.every) {
+		return message.Suspected
+	}
+	if slices.Contains(d.unranked, p.inst.ID) {
+		if p.heard && p.announce != message.Ready && now-p.last < late(missedSuspected, p.every) {
+			return p.announce
+		}
+		return message.Suspected
+	}
+	return message.Ready
+}
+
+// late is the silence after which n heartbeats count as missed. Half an
+// interval allows for delay on the way.
+func late(n int, every time.Duration) time.Duration {
+	return time.Duration(n)*every + every/2
+}
+
+// Claim records that this instance places the flows of a group.
+func (t *Tracker) Claim(g snapshot.GroupID, epoch uint64) {
+	t.own[g] = epoch
+	t.dirty = true
+	t.sender.urgent = true
+}
+
+// Unclaim withdraws a claim.
+func (t *Tracker) Unclaim(g snapshot.GroupID) {
+	if _, ok := t.own[g]; ok {
+		delete(t.own, g)
+		t.dirty = true
+		t.sender.urgent = true
+	}
+}
+
+// Epoch notes an epoch of a group that was learned other than by a heartbeat.
+func (t *Tracker) Epoch(g snapshot.GroupID, epoch uint64) {
+	c := t.claimOf(g)
+	c.max = max(c.max, epoch)
+}
+
+// Foreign sets the counts that heartbeats carry.
+func (t *Tracker) Foreign(counts []message.HostCount) { t.foreign = counts }
+
+// State returns the state that this instance announces.
+func (t *Tracker) State() message.State { return t.state }
+
+// Heard returns the time since the last heartbeat of a peer, or -1.
+func (t *Tracker) Heard(now time.Duration, id snapshot.InstanceID) time.Duration {
+	if p := t.peers[id]; p != nil && p.heard {
+		return now - p.last
+	}
+	return -1
+}
+
+// Version returns the snapshot version that a peer announced last.
+func (t *Tracker) Version(id snapshot.InstanceID) snapshot.Version {
+	if p := t.peers[id]; p != nil {
+		return p.version
+	}
+	return 0
+}
+
+// Newest returns a peer that is alive and has a newer snapshot than version,
+// or nil. Peers of the own domain go first; among equals the number decides.
+func (t *Tracker) Newest(version snapshot.Version) *snapshot.Instance {
+	var best *peer
+	for _, p := range t.peers {
+		if !p.heard || p.version <= version || p.judged == message.Suspected || p.judged == message.Gone {
+			continue
+		}
+		if best == nil || t.fetchBefore(p, best) {
+			best = p
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.inst
+}
+
+func (t *Tracker) fetchBefore(a, b *peer) bool {
+	if aOwn, bOwn := a.inst.Domain == t.cfg.Domain, b.inst.Domain == t.cfg.Domain; aOwn != bOwn {
+		return aOwn
+	}
+	if a.version != b.version {
+		return a.version > b.version
+	}
+	return a.inst.ID^t.cfg.Self < b.inst.ID^t.cfg.Self
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -60,6 +60,14 @@
 	// Foreign lists flows that the sender holds on hosts of groups that it
 	// does not own, so that the owners can count them.
 	Foreign []HostCount
+	// Every is the sender's present interval between heartbeats, which grows
+	// with the number of its recipients. Zero means the base interval.
+	Every time.Duration
+	// Unranked lists instances of the sender's domain that the list names and
+	// the sender does not rank: joining, leaving, suspected and gone ones. It
+	// keeps the rankings of other domains right when they hear only a sample
+	// of the domain's heartbeats.
+	Unranked []snapshot.InstanceID
 }
 
 // HostCount is a number of open flows on one host.
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -50,6 +50,7 @@
 	Instances map[InstanceID]*Instance
 	Groups    map[GroupID]*Group
 	endpoints map[Endpoint]Binding
+	hostGroup map[HostID]*Group
 }
 
 // New builds a snapshot. previous may be nil; it tells which endpoints have
@@ -63,6 +64,7 @@
 		Instances: make(map[InstanceID]*Instance, len(in.Instances)),
 		Groups:    make(map[GroupID]*Group),
 		endpoints: make(map[Endpoint]Binding),
+		hostGroup: make(map[HostID]*Group, len(in.Hosts)),
 	}
 	if err := s.addDomains(in.Domains); err != nil {
 		return nil, err
@@ -149,6 +151,9 @@
 	s.Services[svc.ID] = p
 	for _, g := range svc.Groups {
 		s.Groups[g.ID] = g
+		for _, h := range g.Hosts {
+			s.hostGroup[h.ID] = g
+		}
 	}
 	for _, k := range svc.Kinds {
 		for _, e := range k.Endpoints {
@@ -171,9 +176,9 @@
 		case !ok:
 			continue
 		case old.Service.ID != b.Service.ID:
-			b.Moved = s.Version
+			b.Moved, b.From = s.Version, old.Service.ID
 		default:
-			b.Moved = old.Moved
+			b.Moved, b.From = old.Moved, old.From
 		}
 		s.endpoints[e] = b
 	}
@@ -185,6 +190,9 @@
 	return b, ok
 }
 
+// GroupOf returns the group that the host belongs to, or nil.
+func (s *Snapshot) GroupOf(h HostID) *Group { return s.hostGroup[h] }
+
 // Endpoints calls f for every endpoint.
 func (s *Snapshot) Endpoints(f func(Endpoint, Binding)) {
 	for e, b := range s.endpoints {
--- a/core/snapshot/types.go
+++ b/core/snapshot/types.go
@@ -176,4 +176,6 @@
 	// Moved is the version in which the endpoint last changed its service,
 	// or zero when it never did as far as this instance has seen.
 	Moved Version
+	// From is the service that the endpoint last led to before it moved.
+	From ServiceID
 }
