--- /dev/null
+++ b/settings/tree/inherit.go
@@ -0,0 +1,70 @@
+package tree
+
+import (
+	"fmt"
+	"reflect"
+
+	"egrettack.example/settings/document"
+)
+
+// Origin tells where an effective value was written.
+type Origin struct {
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	Path string `json:"path,omitempty"` // of the node
+	// distance is the number of levels between the node that uses the value
+	// and the one that gives it; a default is farthest.
+	distance int
+}
+
+func (o Origin) String() string {
+	if o.File == "" {
+		return "default"
+	}
+	return fmt.Sprintf("%s:%d", o.File, o.Line)
+}
+
+// Origins maps the name of a field to its origin.
+type Origins map[string]Origin
+
+// EffectiveWork resolves the work settings of a node.
+func (n *Node) EffectiveWork() (Work, Origins) {
+	return resolve(n, "work", func(n *Node) *Work { return &n.Work })
+}
+
+// EffectiveHost resolves the host settings of a node. Capacity stays nil when
+// nothing gives it, which stands for the number of slots.
+func (n *Node) EffectiveHost() (Host, Origins) {
+	return resolve(n, "host", func(n *Node) *Host { return &n.Host })
+}
+
+// resolve takes each field from the nearest node, beginning with n itself,
+// that gives it, else from its default tag.
+func resolve[T any](n *Node, section string, of func(*Node) *T) (T, Origins) {
+	var out T
+	v := reflect.ValueOf(&out).Elem()
+	origins := make(Origins)
+	for _, f := range document.Fields(v.Type()) {
+		target := v.FieldByIndex(f.Index)
+		distance := 0
+		for at := n; at != nil; at = at.Parent {
+			if given := reflect.ValueOf(of(at)).Elem().FieldByIndex(f.Index); !given.IsNil() {
+				target.Set(given)
+				origins[f.Name] = Origin{
+					File: at.Doc.File, Line: at.Doc.Line(section + "." + f.Name),
+					Path: at.Path, distance: distance,
+				}
+				break
+			}
+			distance++
+		}
+		if text, ok := f.Tag.Lookup("default"); target.IsNil() {
+			if ok {
+				target.Set(reflect.New(target.Type().Elem()))
+				document.SetDefault(target.Elem(), text)
+			}
+			origins[f.Name] = Origin{distance: distance}
+		}
+	}
+	return out, origins
+}
