Add stand-ins for platform, fabric, hosts, callers and links

Cause: the daemon needs callers and hosts with real TCP, and a platform and network that can fail on demand, all on loopback and without privileges. Change: one binary with a sub-command for each stand-in and for the acts of operators. Hosts log what they run and callers compare it with what they were told.

--- /dev/null
+++ b/testkit/callers/request.go
@@ -0,0 +1,180 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"egrettack.example/testkit/work"
+)
+
+// Outcome is what a caller was told.
+type Outcome string
+
+const (
+	// Answered: the whole answer came and fits the request.
+	Answered Outcome = "answered"
+	// Refused: a reset answered the SYN.
+	Refused Outcome = "refused"
+	// Shed: the host answered that it did not run the request.
+	Shed Outcome = "shed"
+	// Broken: reset or silence after the connection was established.
+	Broken Outcome = "broken"
+	// Lost: no answer to the SYN at all.
+	Lost Outcome = "lost"
+	// Misrouted: the answer belongs to another request or service.
+	Misrouted Outcome = "misrouted"
+)
+
+// Result is the fate of one request.
+type Result struct {
+	ID       string        `json:"id"`
+	Path     string        `json:"path"`
+	Outcome  Outcome       `json:"outcome"`
+	Host     uint32        `json:"host"`
+	Tries    int           `json:"tries"`
+	Events   uint64        `json:"events,omitempty"`
+	Local    string        `json:"local"`
+	Err      string        `json:"err,omitempty"`
+	At       time.Time     `json:"at"`
+	Duration time.Duration `json:"duration"`
+}
+
+const (
+	// connectWait allows for SYN retransmissions after 1, 3 and 7 s.
+	connectWait = 15 * time.Second
+	// firstRetry is the wait after the first refusal; it doubles each time.
+	firstRetry = 100 * time.Millisecond
+)
+
+// perform runs one request and tries again after a refusal.
+func (p *Pool) perform(ctx context.Context, id string, l *Load) Result {
+	start := time.Now()
+	var r Result
+	for try := 0; ; try++ {
+		r = p.try(ctx, id, l)
+		r.Tries = try + 1
+		if (r.Outcome != Refused && r.Outcome != Shed) || try >= l.Retry || ctx.Err() != nil {
+			break
+		}
+		p.count(r.Outcome)
+		time.Sleep(firstRetry << min(try, 5))
+	}
+	r.ID, r.Path, r.At, r.Duration = id, l.Kind.Path, start, time.Since(start)
+	return r
+}
+
+func (p *Pool) try(ctx context.Context, id string, l *Load) Result {
+	dial, cancel := context.WithTimeout(context.Background(), connectWait)
+	defer cancel()
+	from, port := p.source(l)
+	c, err := p.net.Dial(dial, from, port, l.Kind.Address)
+	if err != nil {
+		return Result{Outcome: connectOutcome(err), Err: err.Error(), Local: fmt.Sprintf("%s:%d", from, port)}
+	}
+	defer c.Close()
+	r := Result{}
+	// The stack has no address any more for a connection that was reset.
+	if a := c.LocalAddr(); a != nil {
+		r.Local = fmt.Sprint(a)
+	}
+	if err := p.send(c, id, l); err != nil {
+		r.Outcome, r.Err = Broken, "send: "+err.Error()
+		return r
+	}
+	if l.Every > 0 {
+		p.follow(ctx, c, id, l, &r)
+	} else {
+		p.receive(c, id, l, &r)
+	}
+	return r
+}
+
+func connectOutcome(err error) Outcome {
+	if strings.Contains(err.Error(), "connection was refused") {
+		return Refused
+	}
+	return Lost
+}
+
+func (p *Pool) send(c net.Conn, id string, l *Load) error {
+	body := p.body(l.Size)
+	_ = c.SetWriteDeadline(time.Now().Add(l.Wait))
+	return work.Write(c, work.Request{
+		ID: id, Service: l.Kind.Number, Kind: l.Kind.Name, Work: l.Work.Microseconds(),
+		Answer: l.Answer, Every: l.Every.Microseconds(), Body: work.Describe(body),
+	}, body)
+}
+
+func (p *Pool) receive(c net.Conn, id string, l *Load, r *Result) {
+	_ = c.SetReadDeadline(time.Now().Add(l.Wait + l.Work))
+	var a work.Answer
+	if err := work.ReadHeader(c, &a); err != nil {
+		r.Outcome, r.Err = Broken, "read answer: "+err.Error()
+		return
+	}
+	r.Host = a.Host
+	switch {
+	case a.ID != id || a.Status == work.Wrong:
+		r.Outcome, r.Err = Misrouted, fmt.Sprintf("answer to %q with status %q", a.ID, a.Status)
+		return
+	case a.Status == work.Busy:
+		r.Outcome = Shed
+		return
+	case a.Size != l.Answer:
+		r.Outcome, r.Err = Broken, fmt.Sprintf("answer of %d bytes, want %d", a.Size, l.Answer)
+		return
+	}
+	if err := work.ReadBody(c, a.Body); err != nil {
+		r.Outcome, r.Err = Broken, "read body: "+err.Error()
+		return
+	}
+	r.Outcome = Answered
+}
+
+var errEvents = errors.New("events missing or repeated")
+
+// follow reads a feed until ctx is over. It breaks when an event is missing or
+// repeated, or when none comes for Load.Wait.
+func (p *Pool) follow(ctx context.Context, c net.Conn, id string, l *Load, r *Result) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	p.feeds.Add(1)
+	defer p.feeds.Add(-1)
+	for ctx.Err() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(l.Wait))
+		if ctx.Err() != nil {
+			break
+		}
+		a, err := event(c)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil && a.Event != r.Events+1 {
+			err = trace.Wrap(errEvents, "event %d after %d", a.Event, r.Events)
+		}
+		if err == nil && a.ID != id {
+			r.Outcome, r.Err = Misrouted, "event of "+a.ID
+			return
+		}
+		if err != nil {
+			r.Outcome, r.Err = Broken, "feed: "+err.Error()
+			return
+		}
+		r.Events, r.Host = a.Event, a.Host
+	}
+	r.Outcome = Answered
+}
+
+func event(c net.Conn) (work.Answer, error) {
+	var a work.Answer
+	if err := work.ReadHeader(c, &a); err != nil {
+		return a, err
+	}
+	return a, work.ReadBody(c, a.Body)
+}
--- /dev/null
+++ b/testkit/fabric/follow.go
@@ -0,0 +1,94 @@
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+
+	"egrettack.example/testkit/control"
+	"egrettack.example/testkit/platform"
+)
+
+const (
+	// watchWait is the length of one watch, seconds.
+	watchWait = 20
+	retryWait = 200 * time.Millisecond
+)
+
+type instanceList struct {
+	Instances []struct {
+		Data    netip.AddrPort `json:"data"`
+		Leaving bool           `json:"leaving"`
+	} `json:"instances"`
+}
+
+// follow keeps the targets equal to the instances that the platform lists as
+// live, Config.Lag late.
+func (f *Fabric) follow(ctx context.Context) {
+	values := make(map[string]string)
+	var revision uint64
+	for ctx.Err() == nil {
+		var t platform.Tree
+		url := fmt.Sprintf("%s/v1/tree?after=%d&wait=%d", f.cfg.World.Platform, revision, watchWait)
+		if err := control.Get(ctx, url, &t); err != nil {
+			time.Sleep(retryWait)
+			continue
+		}
+		if t.Revision <= revision {
+			continue
+		}
+		revision = t.Revision
+		for k, v := range t.Values {
+			values[k] = v
+		}
+		for _, k := range t.Deleted {
+			delete(values, k)
+		}
+		targets, err := liveInstances(values)
+		if err != nil {
+			slog.Error("instance list", "revision", revision, "err", err)
+			continue
+		}
+		time.AfterFunc(f.cfg.Lag, func() { f.setTargets(targets) })
+	}
+}
+
+func (f *Fabric) setTargets(targets []netip.AddrPort) {
+	if slices.Equal(*f.targets.Load(), targets) {
+		return
+	}
+	f.targets.Store(&targets)
+	slog.Info("targets", "count", len(targets))
+}
+
+func liveInstances(values map[string]string) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for k, v := range values {
+		if !strings.HasPrefix(k, "instances/") {
+			continue
+		}
+		b, err := hujson.Standardize([]byte(v))
+		if err != nil {
+			return nil, trace.Wrap(err, "read %s", k)
+		}
+		var l instanceList
+		if err := json.Unmarshal(b, &l); err != nil {
+			return nil, trace.Wrap(err, "decode %s", k)
+		}
+		for _, i := range l.Instances {
+			if !i.Leaving {
+				out = append(out, i.Data)
+			}
+		}
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out, nil
+}
--- /dev/null
+++ b/testkit/platform/server.go
@@ -0,0 +1,176 @@
+package platform
+
+import (
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"egrettack.example/testkit/control"
+)
+
+const (
+	// maxCalls is the number of calls a second that the platform allows over
+	// all readers.
+	maxCalls = 2000
+	// maxWait bounds a watch.
+	maxWait = 60 * time.Second
+)
+
+// Fault is what a test makes the platform do. A zero Fault heals it.
+type Fault struct {
+	Down     bool   `json:"down"`
+	Revision uint64 `json:"revision"` // serve this older revision, 0 for the newest
+	DelayMS  int    `json:"delay_ms"`
+}
+
+// Calls counts the calls of readers.
+type Calls struct {
+	Total     uint64 `json:"total"`
+	PerSecond uint64 `json:"per_second"` // in the last full second
+	Peak      uint64 `json:"peak"`       // most in one second
+	Refused   uint64 `json:"refused"`
+}
+
+// Server serves a Store.
+type Server struct {
+	store *Store
+	mux   *http.ServeMux
+
+	mu      sync.Mutex
+	fault   Fault
+	calls   Calls
+	second  int64
+	current uint64
+}
+
+// NewServer returns the HTTP handler of a store.
+func NewServer(store *Store) *Server {
+	s := &Server{store: store, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/tree", s.tree)
+	s.mux.HandleFunc("GET /v1/value", s.value)
+	s.mux.Handle("PUT /test/v1/values", control.Accept(s.publish))
+	s.mux.Handle("PUT /test/v1/fail", control.Accept(s.fail))
+	s.mux.Handle("GET /test/v1/stats", control.Report(func() any { return s.stats() }))
+	s.mux.HandleFunc("GET /test/v1/value", s.testValue)
+	return s
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// admit counts a call. It returns false when the platform is down or the
+// readers call too often.
+func (s *Server) admit(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	now := time.Now().Unix()
+	if now != s.second {
+		s.calls.PerSecond = 0
+		if now == s.second+1 {
+			s.calls.PerSecond = s.current
+		}
+		s.second, s.current = now, 0
+	}
+	s.calls.Total++
+	s.current++
+	s.calls.Peak = max(s.calls.Peak, s.current)
+	fault, busy := s.fault, s.current > maxCalls
+	if busy {
+		s.calls.Refused++
+	}
+	s.mu.Unlock()
+	if busy {
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return false
+	}
+	time.Sleep(time.Duration(fault.DelayMS) * time.Millisecond)
+	if fault.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}
+	return !fault.Down
+}
+
+func (s *Server) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.Down
+}
+
+func (s *Server) tree(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w) {
+		return
+	}
+	q := r.URL.Query()
+	after, err := parse(q.Get("after"))
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	seconds, err := parse(q.Get("wait"))
+	if err != nil {
+		http.Error(w, "wait: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait := min(time.Duration(seconds)*time.Second, maxWait)
+	t := s.store.Watch(r.Context(), after, wait)
+	if s.down() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	control.Answer(w, t)
+}
+
+func parse(s string) (uint64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(s, 10, 63)
+}
+
+func (s *Server) value(w http.ResponseWriter, r *http.Request) {
+	if s.admit(w) {
+		s.testValue(w, r)
+	}
+}
+
+// testValue serves a value without counting the call, so that publishing works
+// while the platform is down for its readers.
+func (s *Server) testValue(w http.ResponseWriter, r *http.Request) {
+	v, revision, ok := s.store.Value(r.URL.Query().Get("key"))
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	control.Answer(w, map[string]any{"value": v, "revision": revision})
+}
+
+func (s *Server) publish(_ *http.Request, c Change) error {
+	revision, err := s.store.Publish(c)
+	if err != nil {
+		return err
+	}
+	slog.Info("published", "revision", revision, "set", len(c.Set), "deleted", len(c.Delete))
+	return nil
+}
+
+func (s *Server) fail(_ *http.Request, f Fault) error {
+	if f.DelayMS < 0 {
+		return trace.BadParameter("delay_ms is negative")
+	}
+	if err := s.store.Show(f.Revision); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.fault = f
+	s.mu.Unlock()
+	slog.Info("fault", "down", f.Down, "revision", f.Revision, "delay_ms", f.DelayMS)
+	return nil
+}
+
+func (s *Server) stats() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
