Test and measure the flow table

Guards: entries lost or doubled by growth, shrinking and expiry (rapid, against a map); pages of a walk that leave out or repeat an entry; memory kept after a flood; fields of the packed entry.

Segments start with three different sizes, so that they do not all grow at the same number of flows.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -17,11 +17,14 @@
 	hashBits = 63
 	seed     = 0x666c6f7773
 
-	minSlots = 8
+	minSlots = 12
 	// Growing by a quarter at a fill of 7/8 keeps the mean fill at about 0.8.
 	// Doubling would halve the fill right after growth.
 	fillNum, fillDen = 7, 8
 	growNum, growDen = 5, 4
+	// Segments start with slightly different sizes. As hashing fills them
+	// alike, they would otherwise all grow at the same number of flows.
+	phases = 3
 )
 
 // segment is an open-addressing table with linear probing. tags holds a byte
@@ -99,7 +102,7 @@
 		return &s.entries[i], false
 	}
 	if (s.used+1)*fillDen > len(s.tags)*fillNum {
-		t.resize(s, max(minSlots, len(s.tags)*growNum/growDen+1))
+		t.resize(s, max(minSlots+int(h>>(hashBits-segmentBits))%phases, len(s.tags)*growNum/growDen))
 	}
 	i := s.free(h)
 	s.tags[i] = tagOf(h)
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,147 @@
+package table
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"egrettack.example/core/flow"
+)
+
+func keyOf(n int) flow.Key {
+	return flow.Key{
+		Src: flow.Addr(0x0a000000 + n>>14), SrcPort: uint16(1024 + n&0x3fff),
+		Dst: 0x0a090001, DstPort: 7001, Proto: flow.TCP,
+	}
+}
+
+// Guards against entries lost, doubled or mixed up by growth, shrinking, and
+// the moves that removal and expiry make.
+func TestTableAgainstMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab, want := New(), map[flow.Key]uint32{}
+		// Few sources and many ports crowd some segments and leave others empty.
+		key := rapid.Custom(func(t *rapid.T) flow.Key { return keyOf(rapid.IntRange(0, 6_000).Draw(t, "n")) })
+		next := uint32(0)
+		insert := func(k flow.Key) {
+			e, added := tab.Insert(k)
+			if _, had := want[k]; had == added {
+				t.Fatalf("insert of %s: added %v", k, added)
+			}
+			next++
+			e.ISN, want[k] = next, next
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"insert": func(t *rapid.T) { insert(key.Draw(t, "key")) },
+			"fill": func(t *rapid.T) {
+				from := rapid.IntRange(0, 5_000).Draw(t, "from")
+				for n := range 1000 {
+					insert(keyOf(from + n))
+				}
+			},
+			"delete": func(t *rapid.T) {
+				k := key.Draw(t, "key")
+				if _, had := want[k]; tab.Delete(k) != had {
+					t.Fatalf("delete of %s: had %v", k, had)
+				}
+				delete(want, k)
+			},
+			"sweep": func(t *rapid.T) {
+				n, mod := rapid.IntRange(1, 4000).Draw(t, "slots"), rapid.Uint32Range(2, 9).Draw(t, "mod")
+				visits := 0
+				tab.Sweep(n, func(e *Entry) bool {
+					if visits++; e.ISN%mod == 0 {
+						delete(want, e.Key())
+						return true
+					}
+					return false
+				})
+				if visits > n {
+					t.Fatalf("%d visits, at most %d allowed", visits, n)
+				}
+			},
+			"": func(t *rapid.T) {
+				if tab.Len() != len(want) {
+					t.Fatalf("%d entries, want %d", tab.Len(), len(want))
+				}
+				for k, isn := range want {
+					if e := tab.Find(k); e == nil || e.ISN != isn || e.Key() != k {
+						t.Fatalf("%s: %+v, want ISN %d", k, e, isn)
+					}
+				}
+				for range 10 {
+					k := key.Draw(t, "probe")
+					if _, had := want[k]; had != (tab.Find(k) != nil) {
+						t.Fatalf("%s: found %v, want %v", k, !had, had)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against a page of a handover leaving out or repeating a flow that was
+// there all the time while others came and went.
+func TestWalkVisitsEachEntryOnce(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	tab := New()
+	for n := range 20_000 {
+		tab.Insert(keyOf(n))
+	}
+	seen := map[flow.Key]int{}
+	cursor, more := uint64(0), true
+	for more {
+		visits := 0
+		cursor, more = tab.Walk(cursor, 50, func(e *Entry) { seen[e.Key()]++; visits++ })
+		if visits > 50 {
+			t.Fatalf("page of %d entries", visits)
+		}
+		for range 60 { // growth and removal between pages
+			tab.Insert(keyOf(20_000 + rng.IntN(50_000)))
+			tab.Delete(keyOf(10_000 + rng.IntN(60_000)))
+		}
+	}
+	for n := range 10_000 {
+		if seen[keyOf(n)] != 1 {
+			t.Fatalf("entry %d was visited %d times", n, seen[keyOf(n)])
+		}
+	}
+	for k, n := range seen {
+		if n > 1 && tab.Find(k) != nil && k.Src == keyOf(0).Src {
+			t.Fatalf("%s was visited %d times", k, n)
+		}
+	}
+}
+
+// Guards against a table that never gives memory back after a flood.
+func TestSweepShrinks(t *testing.T) {
+	tab := New()
+	for n := range 100_000 {
+		tab.Insert(keyOf(n))
+	}
+	for tab.Len() > 0 {
+		tab.Sweep(5000, func(*Entry) bool { return true })
+	}
+	if tab.Slots() != 0 {
+		t.Fatalf("%d slots left", tab.Slots())
+	}
+}
+
+// Guards against fields of the packed entry overwriting one another.
+func TestEntryFields(t *testing.T) {
+	e, _ := New().Insert(keyOf(1))
+	e.SetHost(9)
+	for s := SynSeen; s <= Closed; s++ {
+		e.SetState(s)
+		e.Mark(Counted | Reopened)
+		e.Unmark(Counted)
+		if e.State() != s || e.Host() != 9 || e.Has(Counted) || !e.Has(Reopened) || e.Has(Copied) {
+			t.Fatalf("state %s: %+v", s, e)
+		}
+	}
+	// The clock of an entry wraps after 49 days.
+	if d := Stamp(0xffffffff).Since(1); d.Milliseconds() != 2 {
+		t.Fatalf("2 ms across the wrap are %s", d)
+	}
+}
