--- a/settings/tree/check.go
+++ b/settings/tree/check.go
@@ -118,6 +118,9 @@
 	reported := make(map[string]bool)
 	for _, k := range kinds {
 		w, origins := k.EffectiveWork()
+		if origins.Wrong("occupies", "share") {
+			continue
+		}
 		resource := *w.Occupies
 		sums[resource] += *w.Share
 		parts[resource] = append(parts[resource], fmt.Sprintf("%s %g (%s)", k.Name(), *w.Share, origins["share"]))
@@ -133,7 +136,7 @@
 
 func (n *Node) checkCeiling() (problems document.Problems) {
 	w, origins := n.EffectiveWork()
-	if *w.Ceiling >= *w.Share {
+	if origins.Wrong("ceiling", "share") || *w.Ceiling >= *w.Share {
 		return nil
 	}
 	// The error stands at the nearer of the two, which was written last.
@@ -148,7 +151,7 @@
 
 func (n *Node) checkProtocol() (problems document.Problems) {
 	w, origins := n.EffectiveWork()
-	if *w.Idempotent {
+	if origins.Wrong("idempotent") || *w.Idempotent {
 		return nil
 	}
 	for i, a := range n.Address {
--- a/settings/tree/inherit.go
+++ b/settings/tree/inherit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 
 	"egrettack.example/settings/document"
 )
@@ -15,6 +16,8 @@
 	// distance is the number of levels between the node that uses the value
 	// and the one that gives it; a default is farthest.
 	distance int
+	// wrong is set when the nearest value given has an error of its own.
+	wrong bool
 }
 
 func (o Origin) String() string {
@@ -24,6 +27,12 @@
 	return fmt.Sprintf("%s:%d", o.File, o.Line)
 }
 
+// Wrong reports whether any of the fields has an error of its own, so that
+// checks of it against other fields would mislead.
+func (o Origins) Wrong(fields ...string) bool {
+	return slices.ContainsFunc(fields, func(f string) bool { return o[f].wrong })
+}
+
 // Origins maps the name of a field to its origin.
 type Origins map[string]Origin
 
@@ -48,11 +57,12 @@
 		target := v.FieldByIndex(f.Index)
 		distance := 0
 		for at := n; at != nil; at = at.Parent {
-			if given := reflect.ValueOf(of(at)).Elem().FieldByIndex(f.Index); !given.IsNil() {
+			given := reflect.ValueOf(of(at)).Elem().FieldByIndex(f.Index)
+			if path := section + "." + f.Name; !given.IsNil() || at.Doc.Has(path) {
 				target.Set(given)
 				origins[f.Name] = Origin{
-					File: at.Doc.File, Line: at.Doc.Line(section + "." + f.Name),
-					Path: at.Path, distance: distance,
+					File: at.Doc.File, Line: at.Doc.Line(path),
+					Path: at.Path, distance: distance, wrong: given.IsNil(),
 				}
 				break
 			}
@@ -63,7 +73,9 @@
 				target.Set(reflect.New(target.Type().Elem()))
 				document.SetDefault(target.Elem(), text)
 			}
-			origins[f.Name] = Origin{distance: distance}
+			if !origins[f.Name].wrong {
+				origins[f.Name] = Origin{distance: distance}
+			}
 		}
 	}
 	return out, origins
--- a/settings/tree/node.go
+++ b/settings/tree/node.go
@@ -112,7 +112,7 @@
 // Node is one node of the tree.
 type Node struct {
 	Path    string // "root", "west", "west/register", "west/register/lookup"
-	Level   string
+	Level   string // "" when it is missing or wrong
 	Number  uint32 // of a service or kind
 	Parent  *Node
 	Doc     *document.Document
@@ -150,6 +150,7 @@
 		problems = document.Problems{doc.Problem("level", "missing value: level is root, district, service or kind")}
 	default:
 		problems = document.Problems{doc.Problem("level", "%q is not one of root, district, service, kind", n.Level)}
+		n.Level = ""
 	}
 	return n, problems
 }
--- a/settings/tree/tree.go
+++ b/settings/tree/tree.go
@@ -62,14 +62,13 @@
 		problems = append(problems, document.Problem{File: RootPath, Line: 1, Text: "missing value: there is no root node"})
 	}
 	for path, n := range t.nodes {
-		if n.Level == "" {
-			continue
-		}
-		if (path == RootPath) != (n.Level == LevelRoot) {
+		if n.Level != "" && (path == RootPath) != (n.Level == LevelRoot) {
 			problems = append(problems, n.Doc.Problem("level", "level %q is wrong here: root is the node %q and no other", n.Level, RootPath))
-			continue
+			n.Level = "" // so that the nodes below are not reported as well
 		}
-		if path == RootPath {
+	}
+	for path, n := range t.nodes {
+		if n.Level == "" || path == RootPath {
 			continue
 		}
 		above := parentPath(path)
