Serve a view of the platform to each failure domain

Cause: host records have no address of the health endpoint as seen from another domain, so a cut between domains did not stop probes. Change: with links, each domain reads the platform through a view in which the health URLs of other domains' hosts lead over the links.

--- a/testkit/cmd/egrettack-testkit/serve.go
+++ b/testkit/cmd/egrettack-testkit/serve.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -68,7 +69,14 @@
 	}
 	ctx, cancel := interrupted()
 	defer cancel()
-	return control.Serve(ctx, addr, platform.NewServer(store))
+	server := platform.NewServer(store)
+	failed := make(chan error, len(w.Views)+1)
+	for _, v := range w.Views {
+		view := server.View(strings.NewReplacer(w.HealthVia(v.Domain)...))
+		go func() { failed <- control.Serve(ctx, v.Listen.String(), view) }()
+	}
+	go func() { failed <- control.Serve(ctx, addr, server) }()
+	return <-failed
 }
 
 type fabricCommand struct {
--- a/testkit/hosts/server.go
+++ b/testkit/hosts/server.go
@@ -114,7 +114,7 @@
 
 func newHealth(h *Host) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /health", &health{host: h})
+	mux.Handle("GET "+world.HealthPath, &health{host: h})
 	return mux
 }
 
--- a/testkit/layout/layout.go
+++ b/testkit/layout/layout.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -137,9 +136,10 @@
 	add := func(from, to, network string, target netip.AddrPort) {
 		w.Links = append(w.Links, world.Link{From: from, To: to, Net: network, Listen: b.port(), Target: target})
 	}
-	api := netip.MustParseAddrPort(strings.TrimPrefix(w.Platform, "http://"))
 	for _, from := range w.Domains {
-		add(from, world.Platform, "tcp", api)
+		view := world.View{Domain: from, Listen: b.port()}
+		w.Views = append(w.Views, view)
+		add(from, world.Platform, "tcp", view.Listen)
 		for _, i := range w.Instances {
 			if i.Domain != from {
 				add(from, i.Domain, "udp", i.Data)
@@ -150,6 +150,7 @@
 		for _, h := range w.Hosts {
 			if h.Domain != from {
 				add(from, h.Domain, "udp", h.Tunnel)
+				add(from, h.Domain, "tcp", h.Health)
 			}
 		}
 	}
--- a/testkit/layout/lists.go
+++ b/testkit/layout/lists.go
@@ -89,7 +89,7 @@
 func NewHostRecord(w *world.World, h world.Host) HostRecord {
 	r := HostRecord{
 		ID: h.ID, Name: h.Name, Tunnel: h.Tunnel, State: "ready",
-		Health: "http://" + h.Health.String() + "/health",
+		Health: world.HealthURL(h.Health),
 	}
 	for _, d := range w.Domains {
 		if a, ok := via(w, d, h.Tunnel); ok {
--- a/testkit/platform/server.go
+++ b/testkit/platform/server.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,15 +51,35 @@
 // NewServer returns the HTTP handler of a store.
 func NewServer(store *Store) *Server {
 	s := &Server{store: store, mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET /v1/tree", s.tree)
-	s.mux.HandleFunc("GET /v1/value", s.value)
+	s.readers(s.mux, strings.NewReplacer())
 	s.mux.Handle("PUT /test/v1/values", control.Accept(s.publish))
 	s.mux.Handle("PUT /test/v1/fail", control.Accept(s.fail))
 	s.mux.Handle("GET /test/v1/stats", control.Report(func() any { return s.stats() }))
-	s.mux.HandleFunc("GET /test/v1/value", s.testValue)
+	// Not counted, so that publishing works while the platform is down.
+	s.mux.HandleFunc("GET /test/v1/value", func(w http.ResponseWriter, r *http.Request) {
+		s.value(w, r, strings.NewReplacer())
+	})
 	return s
 }
 
+// View returns a handler for the readers of one failure domain. rewrite puts
+// the addresses of links in place of the health URLs of other domains, since
+// the records have no such addresses and a cut must stop probes too.
+func (s *Server) View(rewrite *strings.Replacer) http.Handler {
+	mux := http.NewServeMux()
+	s.readers(mux, rewrite)
+	return mux
+}
+
+func (s *Server) readers(mux *http.ServeMux, rewrite *strings.Replacer) {
+	mux.HandleFunc("GET /v1/tree", func(w http.ResponseWriter, r *http.Request) { s.tree(w, r, rewrite) })
+	mux.HandleFunc("GET /v1/value", func(w http.ResponseWriter, r *http.Request) {
+		if s.admit(w) {
+			s.value(w, r, rewrite)
+		}
+	})
+}
+
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // admit counts a call. It returns false when the platform is down or the
@@ -98,7 +119,7 @@
 	return s.fault.Down
 }
 
-func (s *Server) tree(w http.ResponseWriter, r *http.Request) {
+func (s *Server) tree(w http.ResponseWriter, r *http.Request, rewrite *strings.Replacer) {
 	if !s.admit(w) {
 		return
 	}
@@ -119,6 +140,9 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
+	for k, v := range t.Values {
+		t.Values[k] = rewrite.Replace(v)
+	}
 	control.Answer(w, t)
 }
 
@@ -129,21 +153,13 @@
 	return strconv.ParseUint(s, 10, 63)
 }
 
-func (s *Server) value(w http.ResponseWriter, r *http.Request) {
-	if s.admit(w) {
-		s.testValue(w, r)
-	}
-}
-
-// testValue serves a value without counting the call, so that publishing works
-// while the platform is down for its readers.
-func (s *Server) testValue(w http.ResponseWriter, r *http.Request) {
+func (s *Server) value(w http.ResponseWriter, r *http.Request, rewrite *strings.Replacer) {
 	v, revision, ok := s.store.Value(r.URL.Query().Get("key"))
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
 	}
-	control.Answer(w, map[string]any{"value": v, "revision": revision})
+	control.Answer(w, map[string]any{"value": rewrite.Replace(v), "revision": revision})
 }
 
 func (s *Server) publish(_ *http.Request, c Change) error {
--- a/testkit/world/world.go
+++ b/testkit/world/world.go
@@ -14,6 +14,7 @@
 // World is one test installation.
 type World struct {
 	Platform  string         `json:"platform"` // URL
+	Views     []View         `json:"views"`    // of the platform, one a domain with links
 	Ingress   netip.AddrPort `json:"ingress"`  // fabric, from callers
 	Egress    netip.AddrPort `json:"egress"`   // fabric, from hosts and instances
 	Fabric    string         `json:"fabric"`   // test interfaces, URLs
@@ -74,9 +75,37 @@
 	Target netip.AddrPort `json:"target"`
 }
 
+// View is the address at which the platform serves one domain.
+type View struct {
+	Domain string         `json:"domain"`
+	Listen netip.AddrPort `json:"listen"`
+}
+
 // Platform is the To of links to the platform.
 const Platform = "platform"
 
+// HealthPath is the path of the health endpoint of a host.
+const HealthPath = "/health"
+
+// HealthVia returns pairs of the health URLs of hosts in other domains and the
+// URLs by which the given domain reaches them.
+func (w *World) HealthVia(domain string) []string {
+	health := make(map[netip.AddrPort]bool)
+	for _, h := range w.Hosts {
+		health[h.Health] = true
+	}
+	var out []string
+	for _, l := range w.Links {
+		if l.From == domain && health[l.Target] {
+			out = append(out, HealthURL(l.Target), HealthURL(l.Listen))
+		}
+	}
+	return out
+}
+
+// HealthURL returns the URL of the health endpoint at an address.
+func HealthURL(a netip.AddrPort) string { return "http://" + a.String() + HealthPath }
+
 // Read loads a world from a file.
 func Read(path string) (*World, error) {
 	b, err := os.ReadFile(path)
