--- a/core/message/message.go
+++ b/core/message/message.go
@@ -60,6 +60,14 @@
 	// Foreign lists flows that the sender holds on hosts of groups that it
 	// does not own, so that the owners can count them.
 	Foreign []HostCount
+	// Every is the sender's present interval between heartbeats, which grows
+	// with the number of its recipients. Zero means the base interval.
+	Every time.Duration
+	// Unranked lists instances of the sender's domain that the list names and
+	// the sender does not rank: joining, leaving, suspected and gone ones. It
+	// keeps the rankings of other domains right when they hear only a sample
+	// of the domain's heartbeats.
+	Unranked []snapshot.InstanceID
 }
 
 // HostCount is a number of open flows on one host.
@@ -79,7 +87,12 @@
 	ISN uint32
 	// Established is true once the caller has acknowledged the host's SYN.
 	Established bool
-	Age         time.Duration // since the SYN
+	// Closing is true once the caller has sent a FIN; the flow no longer
+	// counts as in progress.
+	Closing bool
+	// Ended marks an entry of an earlier page of a pull that has ended since.
+	Ended bool
+	Age   time.Duration // since the SYN
 }
 
 // Learn tells the first owner of a flow what an asked instance knows of it.
