--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,14 @@
 	@mkdir -p $(BIN)
 	cd tools && GOWORK=off go build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt golang.org/x/perf/cmd/benchstat
 
+# The demo prints one line on standard output, so the build goes to standard error.
+demo:
+	@$(MAKE) --no-print-directory build >&2
+	@BIN=$(BIN) sh scripts/demo.sh
+
+# RUN selects scenarios by name, SEED repeats a run.
+scenarios: build
+	SCENARIOS=1 SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
+
 clean:
 	rm -rf $(BIN)
--- a/testkit/callers/request.go
+++ b/testkit/callers/request.go
@@ -74,6 +74,10 @@
 	defer cancel()
 	from, port := p.source(l)
 	c, err := p.net.Dial(dial, from, port, l.Kind.Address)
+	for err != nil && strings.Contains(err.Error(), "port is in use") && dial.Err() == nil {
+		from, port = p.source(l)
+		c, err = p.net.Dial(dial, from, port, l.Kind.Address)
+	}
 	if err != nil {
 		return Result{Outcome: connectOutcome(err), Err: err.Error(), Local: fmt.Sprintf("%s:%d", from, port)}
 	}
--- a/testkit/cmd/egrettack-testkit/operate.go
+++ b/testkit/cmd/egrettack-testkit/operate.go
@@ -9,7 +9,6 @@
 
 	"github.com/gravitational/trace"
 
-	"egrettack.example/testkit/control"
 	"egrettack.example/testkit/operate"
 	"egrettack.example/testkit/platform"
 )
@@ -100,16 +99,7 @@
 	if err != nil {
 		return err
 	}
-	target, ok := map[string]string{
-		"platform": o.World.Platform + "/test/v1/fail",
-		"fabric":   o.World.Fabric + "/test/v1/impair",
-		"host":     o.World.HostsURL + "/test/v1/host",
-		"links":    o.World.LinkURL + "/test/v1/links",
-	}[c.Args.Target]
-	if !ok {
-		return trace.BadParameter("unknown stand-in %q", c.Args.Target)
-	}
-	return control.Put(ctx, target, json.RawMessage(c.Args.JSON))
+	return operate.Set(ctx, o.World, c.Args.Target, json.RawMessage(c.Args.JSON))
 }
 
 type awaitCommand struct {
--- a/testkit/layout/layout.go
+++ b/testkit/layout/layout.go
@@ -25,6 +25,9 @@
 	Spare       int            // instances that are not published at first
 	Hosts       map[string]int // by service path
 	SpareHosts  map[string]int
+	// Extra names kinds that callers and hosts know but the tree does not, each
+	// with the kind whose address it takes over later.
+	Extra       map[string]string
 	Links       bool // lead traffic between domains and to the platform over links
 	StopTimeout string
 	LogLevel    string
@@ -63,6 +66,9 @@
 	if w.Kinds, err = t.kinds(); err != nil {
 		return nil, err
 	}
+	if err := b.extra(); err != nil {
+		return nil, err
+	}
 	if err := b.hosts(); err != nil {
 		return nil, err
 	}
@@ -80,6 +86,19 @@
 
 func (b *builder) url() string { return "http://" + b.port().String() }
 
+func (b *builder) extra() error {
+	for path, as := range b.spec.Extra {
+		k, err := b.world.Kind(as)
+		if err != nil {
+			return err
+		}
+		k.Path, k.Service, k.Name = path, filepath.Dir(path), filepath.Base(path)
+		k.Number = b.tree.nodes[k.Service].Number
+		b.world.Kinds = append(b.world.Kinds, k)
+	}
+	return nil
+}
+
 func (b *builder) hosts() error {
 	root := b.tree.nodes["root"].Host
 	for _, path := range b.tree.paths("service") {
--- a/testkit/layout/ports.go
+++ b/testkit/layout/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 
 	"github.com/gravitational/trace"
 )
@@ -18,6 +19,13 @@
 	tries      = 50
 )
 
+// taken holds the blocks that this process has given out, since their ports
+// are bound only later.
+var taken = struct {
+	sync.Mutex
+	blocks map[int]bool
+}{blocks: make(map[int]bool)}
+
 // findPorts returns the first port of a block in which all are free.
 func findPorts(base int) (uint16, error) {
 	if base != 0 {
@@ -26,9 +34,12 @@
 		}
 		return uint16(base), nil
 	}
+	taken.Lock()
+	defer taken.Unlock()
 	for range tries {
 		p := firstBlock + rand.IntN((lastBlock-firstBlock)/blockSize)*blockSize
-		if free(p) {
+		if !taken.blocks[p] && free(p) {
+			taken.blocks[p] = true
 			return uint16(p), nil
 		}
 	}
--- a/testkit/netstack/netstack.go
+++ b/testkit/netstack/netstack.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/gravitational/trace"
 	"gvisor.dev/gvisor/pkg/buffer"
@@ -28,6 +29,9 @@
 	mtu = 1400
 	// linkQueue is the number of outgoing packets that may wait for the socket.
 	linkQueue = 4096
+	// timeWait is shorter than the usual 60 s, so that callers use a 5-tuple
+	// again within a test.
+	timeWait = 500 * time.Millisecond
 	// backlog is the number of connections that may wait for Accept.
 	backlog = 1024
 	// socketBuffer is in bytes. The kernel may grant less.
@@ -87,6 +91,10 @@
 	if e := n.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &sack); e != nil {
 		return trace.Errorf("enable SACK: %s", e)
 	}
+	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
+	if e := n.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &wait); e != nil {
+		return trace.Errorf("set TIME-WAIT: %s", e)
+	}
 	for _, a := range n.cfg.Addresses {
 		pa := tcpip.ProtocolAddress{
 			Protocol:          ipv4.ProtocolNumber,
--- a/testkit/operate/operate.go
+++ b/testkit/operate/operate.go
@@ -114,3 +114,17 @@
 	}
 	return nil
 }
+
+// Set sends a fault or mode to the test interface of a stand-in.
+func Set(ctx context.Context, w *world.World, standIn string, v any) error {
+	target, ok := map[string]string{
+		"platform": w.Platform + "/test/v1/fail",
+		"fabric":   w.Fabric + "/test/v1/impair",
+		"host":     w.HostsURL + "/test/v1/host",
+		"links":    w.LinkURL + "/test/v1/links",
+	}[standIn]
+	if !ok {
+		return trace.BadParameter("unknown stand-in %q", standIn)
+	}
+	return control.Put(ctx, target, v)
+}
--- /dev/null
+++ b/testkit/scenario_test.go
@@ -0,0 +1,40 @@
+package testkit
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"egrettack.example/testkit/scenario"
+)
+
+// TestScenarios runs the scripts of scenarios/ against real processes. It
+// guards the requirements of docs/design.md, section 2.2, under planned changes
+// and failures. It needs the built binaries and runs for minutes, hence only
+// with SCENARIOS set (make scenarios).
+func TestScenarios(t *testing.T) {
+	if os.Getenv("SCENARIOS") == "" {
+		t.Skip("SCENARIOS is not set")
+	}
+	seed := rand.Uint64N(1 << 32)
+	if s := os.Getenv("SEED"); s != "" {
+		var err error
+		if seed, err = strconv.ParseUint(s, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("SEED=%d", seed)
+	bin, err := filepath.Abs("../.bin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree, err := filepath.Abs("demo/tree")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, "scenarios"))
+}
