Wire an instance together and add the daemon

Cause: the parts of an instance had no whole.

At the end of its context it leaves gracefully: hands over, waits for the published list and a margin of 1 s, or for stop_timeout. cmd/egrettack loads the settings and runs it. Heartbeats carry the new fields Every and Unranked.

Conclusion: a test with two instances, a host and a platform on loopback forwards and relays every packet unchanged, also under the race detector.

--- a/node/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package node is documented in docs/design.md, section 4.
-package node
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -73,3 +73,8 @@
 	m.Registry.MustRegister(h)
 	return h
 }
+
+// CounterFunc registers a counter that is read when metrics are collected.
+func (m *Metrics) CounterFunc(name, help string, f func() float64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,238 @@
+// Package node is one running instance: it opens the sockets of the daemon's
+// settings and wires the engine to the data plane, the control loop, the
+// platform, the peers and the operators' pages.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"egrettack.example/core/engine"
+	"egrettack.example/core/flow"
+	"egrettack.example/core/snapshot"
+	"egrettack.example/node/control"
+	"egrettack.example/node/dataplane"
+	"egrettack.example/node/metrics"
+	"egrettack.example/node/platform"
+	"egrettack.example/node/prober"
+	"egrettack.example/node/rpc"
+	nodetrace "egrettack.example/node/trace"
+	"egrettack.example/node/web"
+	"egrettack.example/settings/daemon"
+	wire "egrettack.example/wire/control"
+)
+
+// Options are what the command line adds to the settings.
+type Options struct {
+	Profiles bool // serve /debug/pprof
+	Log      *slog.Logger
+}
+
+// Node is one instance.
+type Node struct {
+	settings *daemon.Settings
+	options  Options
+	log      *slog.Logger
+	start    time.Time
+
+	data, control *net.UDPConn
+	rpc, http     net.Listener
+
+	codec    *wire.Codec
+	metrics  *metrics.Metrics
+	tracer   *nodetrace.Tracer
+	platform *platform.Client
+	peers    *rpc.Client
+
+	// engine is nil until the first snapshot, which tells the number of the
+	// instance's domain. started is closed then.
+	engine  atomic.Pointer[engine.Engine]
+	domain  snapshot.DomainID
+	started chan struct{}
+}
+
+// New opens the sockets of an instance. Run closes them.
+func New(s *daemon.Settings, o Options) (*Node, error) {
+	n := &Node{
+		settings: s, options: o, log: o.Log, start: time.Now(),
+		metrics: metrics.New(), peers: rpc.NewClient(s.Keys[0], 0), started: make(chan struct{}),
+	}
+	keys := make([]wire.Key, len(s.Keys))
+	for i, k := range s.Keys {
+		keys[i] = wire.Key{ID: uint16(k.ID), Secret: k.Secret[:]}
+	}
+	var err error
+	if n.codec, err = wire.NewCodec(keys); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.tracer, err = nodetrace.New(nodetrace.Config{Sample: s.TraceSample, File: s.TraceFile, Instance: s.Name})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.platform = platform.New(platform.Config{URL: s.Platform, OnSnapshot: n.apply, Log: n.log})
+	n.watch()
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) watch() {
+	n.metrics.WatchEngine(n.status)
+	stats := func(f func(platform.Stats) uint64) func() float64 {
+		return func() float64 { return float64(f(n.platform.Stats())) }
+	}
+	n.metrics.CounterFunc("platform_calls_total", "Requests sent to the platform.",
+		stats(func(s platform.Stats) uint64 { return s.Calls }))
+	n.metrics.CounterFunc("platform_failures_total", "Calls of the platform without a usable answer.",
+		stats(func(s platform.Stats) uint64 { return s.Failures }))
+	n.metrics.CounterFunc("platform_refused_total", "Publications that failed a check.",
+		stats(func(s platform.Stats) uint64 { return s.Refused }))
+	n.metrics.CounterFunc("platform_older_total", "Answers with an older revision than that in force.",
+		stats(func(s platform.Stats) uint64 { return s.Older }))
+}
+
+func (n *Node) listen() (err error) {
+	s := n.settings
+	if n.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Data)); err != nil {
+		return trace.Wrap(err, "open data socket")
+	}
+	if n.control, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Control)); err != nil {
+		return trace.Wrap(err, "open control socket")
+	}
+	if n.rpc, err = net.Listen("tcp", s.RPC.String()); err != nil {
+		return trace.Wrap(err, "open rpc socket")
+	}
+	if n.http, err = net.Listen("tcp", s.HTTP.String()); err != nil {
+		return trace.Wrap(err, "open http socket")
+	}
+	return nil
+}
+
+// close closes what listen has opened so far.
+func (n *Node) close() {
+	for _, c := range []*net.UDPConn{n.data, n.control} {
+		if c != nil {
+			c.Close()
+		}
+	}
+	for _, l := range []net.Listener{n.rpc, n.http} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// now is the engine's clock.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// apply takes a snapshot into force. The platform client calls it in order.
+func (n *Node) apply(s *snapshot.Snapshot) {
+	if e := n.engine.Load(); e != nil {
+		if !e.SetSnapshot(n.now(), s) {
+			n.metrics.Refused.Inc()
+			n.log.Warn("older snapshot refused", "version", s.Version)
+			return
+		}
+		n.log.Info("snapshot in force", "version", s.Version)
+		return
+	}
+	d, ok := domainNamed(s, n.settings.Domain)
+	if !ok {
+		n.log.Error("own domain is not published", "domain", n.settings.Domain, "version", s.Version)
+		return
+	}
+	n.domain = d
+	e := engine.New(n.now(), engine.Config{
+		Self: n.settings.ID, Domain: d, Boot: n.boot(), Budget: n.settings.ControlBudget, Seed: rand.Uint64(),
+	})
+	e.SetSnapshot(n.now(), s)
+	n.engine.Store(e)
+	n.log.Info("first snapshot in force", "version", s.Version, "domain", n.settings.Domain)
+	if i := s.Instances[n.settings.ID]; i == nil {
+		n.log.Warn("this instance is not listed", "id", n.settings.ID)
+	} else if i.Data != n.settings.Data || i.Control != n.settings.Control || i.RPC != n.settings.RPC {
+		n.log.Warn("listed addresses differ from the settings", "data", i.Data, "control", i.Control, "rpc", i.RPC)
+	}
+	close(n.started)
+}
+
+func domainNamed(s *snapshot.Snapshot, name string) (snapshot.DomainID, bool) {
+	for _, d := range s.Domains {
+		if d.Name == name {
+			return d.ID, true
+		}
+	}
+	return 0, false
+}
+
+// boot is the start time that peers order the runs of this instance by.
+func (n *Node) boot() uint64 { return uint64(n.start.UnixNano()) }
+
+// Run works until ctx is done and then stops gracefully. It may be called once.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer n.close()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return trace.Wrap(n.platform.Run(work), "watch platform") })
+	group.Go(func() error { return rpc.Serve(work, n.rpc, backend{n}) })
+	group.Go(func() error { return web.Serve(work, n.http, n.pages()) })
+	group.Go(func() error { return n.serve(work) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+			n.leave(work)
+		}
+		return nil
+	})
+	n.log.Info("started", "id", n.settings.ID, "name", n.settings.Name, "data", n.settings.Data)
+	err := group.Wait()
+	n.peers.Close()
+	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlushTime)
+	defer cancel()
+	if closing := n.tracer.Close(flush); closing != nil {
+		n.log.Warn("traces not written", "error", closing)
+	}
+	n.log.Info("stopped")
+	return trace.Wrap(err)
+}
+
+// traceFlushTime bounds the writing of the last spans.
+const traceFlushTime = 2 * time.Second
+
+// serve runs the parts that need the engine.
+func (n *Node) serve(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.started:
+	}
+	e := n.engine.Load()
+	var plane *dataplane.Plane
+	loop := control.New(control.Config{
+		Conn: n.control, Engine: e, Peers: caller{n}, Codec: n.codec,
+		Self: n.settings.ID, Domain: n.domain, Boot: n.boot(), Budget: n.settings.ControlBudget,
+		Now: n.now, Reset: func(r *flow.Reset) error { return plane.Reset(r) }, Metrics: n.metrics, Log: n.log,
+	})
+	plane = dataplane.New(dataplane.Config{
+		Conn: n.data, Brain: e, Domain: n.domain, Egress: n.settings.Egress, Workers: n.settings.Workers,
+		Now: n.now, Learn: loop.Learn, Metrics: n.metrics, Tracer: n.tracer, Log: n.log,
+	})
+	probes := prober.New(prober.Config{Engine: e, Now: n.now, Metrics: n.metrics, Log: n.log})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return plane.Run(ctx) })
+	group.Go(func() error { return loop.Run(ctx) })
+	group.Go(func() error { return probes.Run(ctx) })
+	return group.Wait()
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"egrettack.example/core/snapshot"
+	"egrettack.example/settings/daemon"
+	"egrettack.example/wire/geneve"
+)
+
+const patience = 10 * time.Second
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// publication serves fixed values as the platform does.
+type publication struct{ values map[string]string }
+
+func (p *publication) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("after") != "0" {
+		<-r.Context().Done()
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"revision": 1, "full": true, "values": p.values})
+}
+
+func udpSocket(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(anyPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+type cluster struct {
+	nodes  []*Node
+	host   *net.UDPConn
+	egress *net.UDPConn
+	caller *net.UDPConn
+}
+
+// startCluster runs n instances of one domain in front of one host. The
+// returned function stops them.
+func startCluster(t *testing.T, n int) (*cluster, func()) {
+	t.Helper()
+	c := &cluster{host: udpSocket(t), egress: udpSocket(t), caller: udpSocket(t)}
+	pub := &publication{}
+	srv := httptest.NewServer(pub)
+	list := ""
+	for i := 1; i <= n; i++ {
+		s := &daemon.Settings{
+			ID: snapshot.InstanceID(i), Name: fmt.Sprintf("n%d", i), Domain: "north", Data: anyPort, Control: anyPort, RPC: anyPort, HTTP: anyPort,
+			Egress: c.egress.LocalAddr().(*net.UDPAddr).AddrPort(), Platform: srv.URL,
+			Keys: []daemon.Key{{ID: 1, Secret: daemon.Secret{1}}}, Workers: 2, ControlBudget: 9000,
+		}
+		s.StopTimeout.Duration = 200 * time.Millisecond
+		node, err := New(s, Options{Log: slog.New(slog.NewTextHandler(t.Output(), nil))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.nodes = append(c.nodes, node)
+		list += fmt.Sprintf(`{"id": %d, "name": "n%d", "data": %q, "control": %q, "rpc": %q},`,
+			i, i, node.data.LocalAddr(), node.control.LocalAddr(), node.rpc.Addr())
+	}
+	pub.values = values(c.host.LocalAddr().String(), list)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, n)
+	for _, node := range c.nodes {
+		go func() { done <- node.Run(ctx) }()
+	}
+	return c, func() {
+		cancel()
+		for range c.nodes {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+		srv.CloseClientConnections()
+		srv.Close()
+	}
+}
+
+func values(host, instances string) map[string]string {
+	return map[string]string{
+		"settings/root": `{"level": "root", "domains": {"north": {"number": 1, "region": "west"}},
+			"work": {"deadline": "2s"}, "host": {"slots": 2, "queue": 3, "connections": 100}}`,
+		"settings/west":                 `{"level": "district"}`,
+		"settings/west/register":        `{"level": "service", "number": 7}`,
+		"settings/west/register/lookup": `{"level": "kind", "number": 2, "addresses": ["10.9.0.1:7002/tcp"], "work": {"occupies": "slot", "share": 0.4}}`,
+		"hosts/north/west.register":     fmt.Sprintf(`{"hosts": [{"id": 1, "name": "r1", "tunnel": %q, "state": "ready"}]}`, host),
+		"instances/north":               fmt.Sprintf(`{"instances": [%s]}`, instances),
+	}
+}
+
+func (c *cluster) awaitReady(t *testing.T) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for _, n := range c.nodes {
+		for err := n.ready(); err != nil; err = n.ready() {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %v", n.settings.Name, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// segment is a TCP packet of a caller.
+func segment(t *testing.T, port uint16, seq uint32, syn bool) []byte {
+	t.Helper()
+	ip := &layers.IPv4{Version: 4, TTL: 60, Protocol: layers.IPProtocolTCP, SrcIP: net.IP{192, 0, 2, 9}, DstIP: net.IP{10, 9, 0, 1}}
+	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: 7002, Seq: seq, SYN: syn, ACK: !syn, Window: 9}
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		t.Fatal(err)
+	}
+	buf := gopacket.NewSerializeBuffer()
+	if err := gopacket.SerializeLayers(buf, gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}, ip, tcp); err != nil {
+		t.Fatal(err)
+	}
+	return bytes.Clone(buf.Bytes())
+}
+
+// send delivers inner to a node as the fabric does.
+func (c *cluster) send(t *testing.T, to *Node, inner []byte) {
+	t.Helper()
+	var h geneve.Header
+	b := make([]byte, geneve.HeaderLen)
+	h.Write(b)
+	if _, err := c.caller.WriteTo(append(b, inner...), to.data.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expect reads one Geneve packet and compares it.
+func expect(t *testing.T, c *net.UDPConn, vni uint32, inner []byte) {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 2048)
+	n, err := c.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var h geneve.Header
+	if err := geneve.Read(b[:n], &h); err != nil {
+		t.Fatal(err)
+	}
+	if h.VNI != vni || h.Relayed {
+		t.Fatalf("header %+v", h)
+	}
+	if !bytes.Equal(b[h.InnerOff:n], inner) {
+		t.Fatalf("got % x\nwant % x", b[h.InnerOff:n], inner)
+	}
+}
+
+// Guards against an instance that does not boot, forward, relay or stop: all
+// packets of a flow reach its host unchanged, whichever instance gets them.
+func TestForward(t *testing.T) {
+	c, stop := startCluster(t, 2)
+	defer stop()
+	c.awaitReady(t)
+	for port := uint16(2000); port < 2004; port++ {
+		for i, node := range []*Node{c.nodes[0], c.nodes[1], c.nodes[0]} {
+			p := segment(t, port, 100+uint32(i), i == 0)
+			c.send(t, node, p)
+			expect(t, c.host, 7, p)
+		}
+	}
+	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/status"} {
+		resp, err := http.Get("http://" + c.nodes[0].http.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d: %s", path, resp.StatusCode, body)
+		}
+	}
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"egrettack.example/core/engine"
+	"egrettack.example/core/snapshot"
+)
+
+// listMargin is added to the publication of the list: peers and the fabric get
+// it up to a second later than this instance.
+const listMargin = time.Second
+
+// leave hands over what this instance owns and waits until nobody sends to it,
+// or until the stop timeout is over.
+func (n *Node) leave(ctx context.Context) {
+	e := n.engine.Load()
+	if e == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout.Duration)
+	defer cancel()
+	begin := time.Now()
+	n.log.Info("leaving", "timeout", n.settings.StopTimeout.Duration)
+	e.Leave(n.now())
+	if !poll(ctx, func() bool { return e.Left(n.now()) }) {
+		n.log.Warn("stop timeout is over before all groups were handed over")
+		return
+	}
+	n.log.Info("groups handed over", "took", time.Since(begin).Round(time.Millisecond))
+	if !poll(ctx, func() bool { return !listed(e.Snapshot(), n.settings.ID) }) {
+		n.log.Warn("stop timeout is over while this instance is still listed as live")
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(listMargin):
+	}
+	n.log.Info("left", "took", time.Since(begin).Round(time.Millisecond))
+}
+
+// listed reports whether the snapshot names the instance as live.
+func listed(s *snapshot.Snapshot, id snapshot.InstanceID) bool {
+	i := s.Instances[id]
+	return i != nil && !i.Leaving
+}
+
+// poll waits until done is true and returns false when ctx ends first.
+func poll(ctx context.Context, done func() bool) bool {
+	t := time.NewTicker(engine.TickInterval)
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+	return true
+}
--- a/node/web/web.go
+++ b/node/web/web.go
@@ -25,6 +25,7 @@
 
 // Config of the pages.
 type Config struct {
+	Name string // of the instance
 	// Ready returns nil when the instance can do its work, else the reason.
 	Ready    func() error
 	Status   func() engine.Status
@@ -49,7 +50,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
 		enc.SetIndent("", "  ")
-		if err := enc.Encode(cfg.Status()); err != nil {
+		if err := enc.Encode(newPage(cfg.Name, cfg.Status())); err != nil {
 			cfg.Log.Debug("status not sent", "error", err)
 		}
 	})
--- a/wire/control/body.go
+++ b/wire/control/body.go
@@ -29,6 +29,9 @@
 	Base     []uint32 `cbor:"12,keyasint,omitempty"`
 	Entries  []entry  `cbor:"13,keyasint,omitempty"`
 	Ended    [][]byte `cbor:"14,keyasint,omitempty"`
+
+	EveryMillis uint64   `cbor:"15,keyasint,omitempty"`
+	Unranked    []uint32 `cbor:"16,keyasint,omitempty"`
 }
 
 type groupID struct {
@@ -66,9 +69,14 @@
 // keyLen is the length of an encoded flow key: addresses, ports, protocol.
 const keyLen = 13
 
-// maxAge bounds the age that an entry may claim; it keeps the conversion to a
-// time.Duration from overflowing.
-const maxAge = 10 * 365 * 24 * time.Hour
+const (
+	// maxAge bounds the age that an entry may claim; it keeps the conversion
+	// to a time.Duration from overflowing.
+	maxAge = 10 * 365 * 24 * time.Hour
+	// maxEvery bounds the interval between heartbeats that a peer may claim;
+	// a longer one would keep a dead peer in the rankings.
+	maxEvery = time.Minute
+)
 
 func toWire(m *Message) *body {
 	b := &body{From: uint32(m.From), Boot: m.Boot, Seq: m.Seq}
@@ -83,6 +91,8 @@
 		b.Foreign = convert(h.Foreign, func(c message.HostCount) count {
 			return count{Host: uint32(c.Host), Connections: c.Connections, Slots: c.Slots}
 		})
+		b.EveryMillis = uint64(max(h.Every, 0) / time.Millisecond)
+		b.Unranked = convert(h.Unranked, func(i snapshot.InstanceID) uint32 { return uint32(i) })
 	case Learn:
 		l := m.Learn
 		b.Group, b.HeldBy = groupTo(l.Group), groupTo(l.HeldBy)
@@ -143,6 +153,9 @@
 	if message.State(b.State) > message.Leaving {
 		return fmt.Errorf("%w: heartbeat with state %d", ErrBody, b.State)
 	}
+	if b.EveryMillis > uint64(maxEvery/time.Millisecond) {
+		return fmt.Errorf("%w: heartbeat every %d ms", ErrBody, b.EveryMillis)
+	}
 	m.Heartbeat = &message.Heartbeat{
 		From: m.From, Boot: m.Boot, Seq: m.Seq,
 		State: message.State(b.State), Version: snapshot.Version(b.Version),
@@ -152,6 +165,8 @@
 		Foreign: convert(b.Foreign, func(c count) message.HostCount {
 			return message.HostCount{Host: snapshot.HostID(c.Host), Connections: c.Connections, Slots: c.Slots}
 		}),
+		Every:    time.Duration(b.EveryMillis) * time.Millisecond,
+		Unranked: convert(b.Unranked, func(i uint32) snapshot.InstanceID { return snapshot.InstanceID(i) }),
 	}
 	return nil
 }
--- a/wire/control/control_test.go
+++ b/wire/control/control_test.go
@@ -38,6 +38,7 @@
 			From: 4, Boot: 1 << 60, Seq: 9, State: message.Leaving, Version: 1 << 40,
 			Claims:  []message.Claim{{Group: groupA, Epoch: 5}, {Group: groupB, Epoch: 1}},
 			Foreign: []message.HostCount{{Host: 3, Connections: 20, Slots: 2}},
+			Every:   1200 * time.Millisecond, Unranked: []snapshot.InstanceID{5, 420},
 		}},
 		{From: 4, Boot: 1 << 60, Seq: 10, Learn: &message.Learn{From: 4, Group: groupA, Entry: held, HeldBy: groupB}},
 		{From: 4, Boot: 1 << 60, Seq: 11, Copies: &message.CopyBatch{
