Take a stamp that is ahead of the time as now

Cause: workers read the time before they wait for the group's mutex. When the worker with the later time went first, Stamp.Since of the other wrapped to 49 days, and three reordered data segments then made a healthy flow count as silent; its caller got a reset.

Ruled out: port reuse and resets by hosts; the metric named reason=silent at the owner for each of the broken flows.

Change: a stamp up to 60 s ahead is 0 ago.

The new table test fails without the change.

--- a/core/table/entry.go
+++ b/core/table/entry.go
@@ -63,8 +63,16 @@
 // StampOf converts a time.
 func StampOf(now time.Duration) Stamp { return Stamp(now / time.Millisecond) }
 
-// Since returns the time from s to now.
+// maxSkew is how much later than now a stamp may be, in ms. Workers read the
+// time before they wait for the group's mutex, so the next one to hold it may
+// have the earlier time. Without the limit the difference wraps to 49 days.
+const maxSkew Stamp = 60_000
+
+// Since returns the time from s to now, 0 for a stamp that is ahead.
 func (s Stamp) Since(now Stamp) time.Duration {
+	if s-now <= maxSkew {
+		return 0
+	}
 	return time.Duration(now-s) * time.Millisecond
 }
 
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -145,3 +146,16 @@
 		t.Fatalf("2 ms across the wrap are %s", d)
 	}
 }
+
+// Guards against a stamp of another worker that is a moment ahead being taken
+// for one of 49 days ago, which reset healthy flows as silent.
+func TestSinceOfLaterStampIsZero(t *testing.T) {
+	for _, ahead := range []Stamp{1, 20, 59_000} {
+		if d := (1000 + ahead).Since(1000); d != 0 {
+			t.Errorf("stamp %d ms ahead: %s ago", ahead, d)
+		}
+	}
+	if d := Stamp(1<<32 - 500).Since(500); d != time.Second {
+		t.Errorf("over the wrap: %s", d)
+	}
+}
