--- a/core/group/expire.go
+++ b/core/group/expire.go
@@ -4,15 +4,17 @@
 	"time"
 
 	"egrettack.example/core/flow"
-	"egrettack.example/core/place"
 	"egrettack.example/core/table"
 )
 
 const (
-	// synIdle is how long a flow is kept whose caller has sent SYNs only.
-	// SYNs are repeated after 1, 3 and 7 seconds; a flow that is opened again
-	// later is safe, since TCP matches its answers by sequence number.
+	// synIdle is how long a flow counts as in progress whose caller has sent
+	// SYNs only. The caller of an idle host needs a few milliseconds.
 	synIdle = 10 * time.Second
+	// synKeep is how long its entry is kept, so that a retransmitted SYN goes
+	// to the same host and is never refused. SYNs are repeated after 1, 3, 7,
+	// 15, 31 and 63 seconds, the last gap being 32 s.
+	synKeep = 40 * time.Second
 	// closingIdle leaves a caller that has closed its side time to get the
 	// rest of its answer.
 	closingIdle = time.Minute
@@ -36,7 +38,7 @@
 	}
 	switch e.State() {
 	case table.SynSeen:
-		return min(limit, synIdle)
+		return synKeep
 	case table.Closing:
 		return min(limit, closingIdle)
 	case table.Closed:
@@ -62,11 +64,13 @@
 func (t *Table) expire(now time.Duration, stamp table.Stamp, e *table.Entry) bool {
 	switch {
 	case e.Active.Since(stamp) > t.idle(e):
-		if e.State() == table.SynSeen && !e.Has(table.Redirected) {
-			t.failed(now, e, place.FailedHandshake)
-		}
 	case e.Has(table.Redirected):
 		return false
+	case e.State() == table.SynSeen:
+		if t.gone(e.Host()) || e.Active.Since(stamp) > synIdle {
+			t.end(now, e)
+		}
+		return false
 	case t.gone(e.Host()), t.silent(now, e):
 		t.resetLater(e)
 	default:
@@ -79,7 +83,7 @@
 // resetLater resets the flow towards its caller, which may be waiting for
 // data and would send nothing for a long time.
 func (t *Table) resetLater(e *table.Entry) {
-	if e.Proto() != flow.TCP || e.State() == table.SynSeen || e.State() == table.Closed || e.Retransmissions == table.Unsynced {
+	if e.Proto() != flow.TCP || e.State() == table.Closed || e.Retransmissions == table.Unsynced {
 		return
 	}
 	t.resets = append(t.resets, flow.Reset{Key: e.Key(), Seq: e.Ack})
--- /dev/null
+++ b/core/group/export_test.go
@@ -0,0 +1,74 @@
+package group
+
+import (
+	"fmt"
+
+	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
+)
+
+// CheckCounts compares all counts with the entries.
+func (t *Table) CheckCounts() error {
+	type counts struct{ conns, slots int }
+	want := map[snapshot.HostID]*counts{}
+	use := map[snapshot.HostID]map[snapshot.KindID]int{}
+	entries := 0
+	t.flows.Walk(0, 1<<30, func(e *table.Entry) {
+		entries++
+		if !e.Has(table.Counted) {
+			if e.Has(table.Slot) {
+				panic("slot without connection")
+			}
+			return
+		}
+		if want[e.Host()] == nil {
+			want[e.Host()], use[e.Host()] = &counts{}, map[snapshot.KindID]int{}
+		}
+		want[e.Host()].conns++
+		use[e.Host()][e.Kind]++
+		if e.Has(table.Slot) {
+			want[e.Host()].slots++
+		}
+	})
+	if entries != t.flows.Len() {
+		return fmt.Errorf("%d entries, counted %d", entries, t.flows.Len())
+	}
+	inUse := map[snapshot.KindID]int{}
+	for _, h := range t.hosts.All() {
+		w := want[h.ID]
+		if w == nil {
+			w = &counts{}
+		}
+		delete(want, h.ID)
+		if h.Connections != w.conns || h.InProgress != w.slots {
+			return fmt.Errorf("host %d: %d connections and %d slots, entries say %d and %d",
+				h.ID, h.Connections, h.InProgress, w.conns, w.slots)
+		}
+		for k := range 256 {
+			if int(h.Use[k]) != use[h.ID][snapshot.KindID(k)] {
+				return fmt.Errorf("host %d kind %d: %d, entries say %d", h.ID, k, h.Use[k], use[h.ID][snapshot.KindID(k)])
+			}
+			if h.Usable() {
+				inUse[snapshot.KindID(k)] += int(h.Use[k])
+			}
+		}
+	}
+	for h, w := range want {
+		return fmt.Errorf("host %d is not known but has %d entries", h, w.conns)
+	}
+	for k := range 256 {
+		if id := snapshot.KindID(k); t.admit.InUse(id) != inUse[id] {
+			return fmt.Errorf("kind %d: %d in use, hosts say %d", id, t.admit.InUse(id), inUse[id])
+		}
+	}
+	return nil
+}
+
+// InUse returns what a kind has in use on the usable hosts, as CheckCounts verifies it.
+func (t *Table) InUse(k snapshot.KindID) int { return t.admit.InUse(k) }
+
+// CopiesSettled reports whether the backup has confirmed all copies and the
+// base list is the host list.
+func (t *Table) CopiesSettled() bool {
+	return t.base.next == nil && !t.copies.scanning && t.copies.backlog() == 0
+}
--- a/core/group/handover.go
+++ b/core/group/handover.go
@@ -31,7 +31,7 @@
 	if cursor == 0 && !t.pull.done {
 		t.pull = pull{on: true}
 	}
-	reply := message.PullReply{Epoch: t.cfg.Epoch, Base: t.base.now}
+	reply := message.PullReply{Epoch: t.cfg.Epoch, Base: t.base.adopt}
 	if cursor < tailCursor {
 		next, more := t.flows.Walk(cursor, maxEntries, func(e *table.Entry) {
 			if !e.Has(table.Redirected) {
--- /dev/null
+++ b/core/group/machine_test.go
@@ -0,0 +1,479 @@
+package group_test
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// modelFlow is what the machine knows of an open flow.
+type modelFlow struct {
+	host         snapshot.HostID
+	isn, seq     uint32
+	born, active time.Duration
+	established  bool
+	closing      bool
+	adopted      bool // by default after a failover, with an unknown ISN
+}
+
+type flowID struct {
+	kind snapshot.KindID
+	n    int
+}
+
+// machine drives a table, its backup and its successors at random.
+type machine struct {
+	fleet  fleet
+	tab    *group.Table
+	copies *group.Copies
+	flows  map[flowID]*modelFlow
+	demand map[snapshot.KindID]time.Duration
+	now    time.Duration
+	epoch  uint64
+	isn    uint32
+	nextID snapshot.HostID
+	// lost are flows that a failover broke. The new owner may have adopted
+	// them at their default host, so they are left alone from then on.
+	lost map[flowID]bool
+}
+
+type age int
+
+const (
+	fresh age = iota
+	unsure
+	expired
+)
+
+const slack = 50 * time.Millisecond // of stamps, which are in milliseconds
+
+func newMachine() *machine {
+	m := &machine{
+		fleet: defaultFleet(4), flows: map[flowID]*modelFlow{}, copies: group.NewCopies(),
+		demand: map[snapshot.KindID]time.Duration{}, epoch: 1, isn: 1000, nextID: 5,
+		lost: map[flowID]bool{},
+	}
+	m.fleet.max = 8
+	for _, k := range m.fleet.kinds {
+		k.Deadline = 0 // the estimate of the wait has its own test
+		m.demand[k.ID] = -time.Hour
+	}
+	m.tab = m.fleet.table(group.Config{})
+	m.tab.StartCopies(0)
+	return m
+}
+
+func (m *machine) kind(id snapshot.KindID) *snapshot.Kind {
+	for _, k := range m.fleet.kinds {
+		if k.ID == id {
+			return k
+		}
+	}
+	return nil
+}
+
+// age tells whether the table still has to know the flow. Within slack of the
+// idle time it may or may not, and the flow is left alone.
+func (m *machine) age(id flowID, f *modelFlow) age {
+	idle := m.kind(id.kind).Idle
+	switch {
+	case f.closing:
+		idle = 2 * time.Second
+	case !f.established:
+		idle = 40 * time.Second
+	}
+	switch since := m.now - f.active; {
+	case since < idle-slack:
+		return fresh
+	case since < idle+slack || f.closing && since < time.Minute+slack:
+		return unsure
+	}
+	return expired
+}
+
+func (m *machine) gone(h snapshot.HostID) bool { return !slices.Contains(m.fleet.ids, h) }
+
+func (m *machine) drawFlow(t *rapid.T) flowID {
+	return flowID{
+		snapshot.KindID(rapid.IntRange(int(feed), int(probe)).Draw(t, "kind")),
+		rapid.IntRange(0, 25).Draw(t, "flow"),
+	}
+}
+
+// room is the state of one resource before a packet, from public counts.
+type room struct {
+	capacity, free  int
+	use, guarantees map[snapshot.KindID]int
+}
+
+func (m *machine) room(o snapshot.Occupancy) room {
+	r := room{use: map[snapshot.KindID]int{}, guarantees: map[snapshot.KindID]int{}}
+	for _, h := range m.tab.Stats(m.now).Hosts {
+		if !h.Usable {
+			continue
+		}
+		limit, used := m.fleet.max, h.Connections
+		if o == snapshot.OccupiesSlot {
+			limit, used = m.fleet.slots+m.fleet.queue, h.Slots
+		}
+		r.capacity += limit
+		r.free += max(0, limit-used)
+	}
+	for _, k := range m.fleet.kinds {
+		if k.Occupies == o {
+			r.use[k.ID] = m.tab.InUse(k.ID)
+			if k.Share > 0 {
+				r.guarantees[k.ID] = max(1, int(k.Share*float64(r.capacity)))
+			}
+		}
+	}
+	return r
+}
+
+// reserved is what other kinds must find free after an admission beyond the guarantee.
+func (m *machine) reserved(r room, except snapshot.KindID) int {
+	sum := 0
+	for id, guarantee := range r.guarantees {
+		switch {
+		case id == except:
+		case m.now-m.demand[id] < 10*time.Second:
+			sum += max(0, guarantee-r.use[id])
+		default:
+			sum++
+		}
+	}
+	return sum
+}
+
+func (m *machine) opening(t *rapid.T) {
+	id := m.drawFlow(t)
+	f := m.flows[id]
+	// A flow that was open on a host that has gone may have been reset and forgotten.
+	if f != nil && (m.age(id, f) == expired || m.gone(f.host) && f.established) {
+		delete(m.flows, id)
+		f = nil
+	}
+	if m.lost[id] || f != nil && m.age(id, f) == unsure {
+		return
+	}
+	isn := m.isn
+	if m.isn += 1000; f != nil && !f.adopted && rapid.Bool().Draw(t, "retransmit") {
+		isn = f.isn
+	}
+	usable := map[snapshot.HostID]bool{}
+	for _, h := range m.tab.Stats(m.now).Hosts {
+		usable[h.Host] = h.Usable
+	}
+	kind := m.kind(id.kind)
+	before := m.room(kind.Occupies)
+	d := m.tab.Packet(m.now, syn(id.kind, id.n, isn))
+	if f != nil && (isn == f.isn || !f.closing && !m.gone(f.host)) {
+		m.repeated(t, id, f, d)
+		return
+	}
+	m.demand[id.kind] = m.now
+	if d.Verdict != group.Forward {
+		m.refused(t, id, d, before)
+		return
+	}
+	if !usable[d.Host] || m.gone(d.Host) || m.fleet.draining[d.Host] {
+		t.Fatalf("%v was placed on host %d, which takes no new flows", id, d.Host)
+	}
+	// Flows that a failover adopts may exceed a limit, new ones never.
+	for _, h := range m.tab.Stats(m.now).Hosts {
+		if h.Host == d.Host && (h.Connections > m.fleet.max || kind.Occupies == snapshot.OccupiesSlot && h.Slots > m.fleet.slots+m.fleet.queue) {
+			t.Fatalf("%v exceeds the limits of its host: %+v", id, h)
+		}
+	}
+	after := m.room(kind.Occupies)
+	if after.use[id.kind] > after.guarantees[id.kind] && after.free < m.reserved(after, id.kind) {
+		t.Fatalf("%v borrowed what is reserved: %+v, reserved %d", id, after, m.reserved(after, id.kind))
+	}
+	if float64(after.use[id.kind]) > max(kind.Ceiling*float64(after.capacity), float64(after.guarantees[id.kind]))+1 {
+		t.Fatalf("%v is over its ceiling: %+v", id, after)
+	}
+	m.flows[id] = &modelFlow{
+		host: d.Host, isn: isn, seq: isn + 1, born: m.now, active: m.now,
+		established: id.kind == probe,
+	}
+}
+
+// repeated checks the answer to a SYN of an open flow.
+func (m *machine) repeated(t *rapid.T, id flowID, f *modelFlow, d group.Decision) {
+	switch {
+	case m.gone(f.host):
+		if d.Verdict != group.Drop {
+			t.Fatalf("%v: SYN to a host that has gone: %+v", id, d)
+		}
+		return
+	case d.Verdict == group.Refuse:
+		t.Fatalf("%v was refused after it was forwarded", id)
+	case d.Verdict != group.Forward || d.Host != f.host:
+		t.Fatalf("%v on host %d: %+v", id, f.host, d)
+	}
+	f.active = m.now
+}
+
+// refused checks that the flow really found no room.
+func (m *machine) refused(t *rapid.T, id flowID, d group.Decision, r room) {
+	want := group.Refuse
+	if id.kind == probe {
+		want = group.Drop
+	}
+	if d.Verdict != want {
+		t.Fatalf("%v: %+v", id, d)
+	}
+	conns := m.room(snapshot.OccupiesConnection)
+	if r.use[id.kind] < r.guarantees[id.kind] && r.free > 0 && conns.free > 0 && d.Reason != group.ReasonConnections {
+		t.Fatalf("%v was refused (%s) within its guarantee: %+v", id, d.Reason, r)
+	}
+	delete(m.flows, id)
+}
+
+// packet sends a packet of an open flow.
+func (m *machine) packet(t *rapid.T) {
+	id := m.drawFlow(t)
+	f := m.flows[id]
+	if f == nil || m.age(id, f) != fresh || id.kind == probe && m.gone(f.host) {
+		return
+	}
+	flags, size := flow.ACK, uint16(0)
+	if id.kind != probe {
+		switch rapid.IntRange(0, 5).Draw(t, "what") {
+		case 0:
+			flags |= flow.FIN
+		case 1:
+			flags = flow.RST
+		default:
+			size = 20
+		}
+	}
+	r := request(id.kind, id.n, flags, f.seq, 5001, size)
+	f.seq += uint32(size)
+	d := m.tab.Packet(m.now, r)
+	if d.Verdict == group.Miss && !m.gone(f.host) {
+		t.Fatalf("%v has no entry", id)
+	}
+	if m.gone(f.host) {
+		if id.kind != probe && flags&flow.RST == 0 && d.Verdict != group.Abort && d.Verdict != group.Miss {
+			t.Fatalf("%v on a host that has gone: %+v", id, d)
+		}
+		delete(m.flows, id)
+		return
+	}
+	if d.Verdict != group.Forward || d.Host != f.host {
+		t.Fatalf("%v on host %d: %+v", id, f.host, d)
+	}
+	f.active, f.established = m.now, true
+	if flags&(flow.FIN|flow.RST) != 0 {
+		f.closing = true
+	}
+}
+
+func (m *machine) changeHosts(t *rapid.T) {
+	switch i := rapid.IntRange(0, len(m.fleet.ids)-1).Draw(t, "host"); rapid.IntRange(0, 2).Draw(t, "change") {
+	case 0:
+		if len(m.fleet.ids) < 7 {
+			m.fleet.ids = append(m.fleet.ids, m.nextID)
+			m.nextID++
+		}
+	case 1:
+		if len(m.fleet.ids) > 1 {
+			m.fleet.ids = slices.Delete(m.fleet.ids, i, i+1)
+		}
+	case 2:
+		id := m.fleet.ids[i]
+		m.fleet.draining[id] = !m.fleet.draining[id]
+	}
+	s, g := m.fleet.snapshot()
+	m.tab.Update(m.now, s, g)
+}
+
+func (m *machine) report(t *rapid.T) {
+	h := rapid.SampledFrom(m.fleet.ids).Draw(t, "host")
+	m.tab.Report(m.now, h, message.LoadReport{
+		Load:     rapid.Float64Range(0, 1).Draw(t, "load"),
+		Draining: rapid.Bool().Draw(t, "draining"),
+		Failed:   rapid.Bool().Draw(t, "failed"),
+	})
+	out := 0
+	for _, s := range m.tab.Stats(m.now).Hosts {
+		if s.Why == "draining by its own word" || s.Why == "health probe failed" {
+			out++
+		}
+	}
+	if out*2 > len(m.fleet.ids) {
+		t.Fatalf("%d of %d hosts are out on their own word", out, len(m.fleet.ids))
+	}
+}
+
+// copy moves the copy stream on over a link that loses datagrams.
+func (m *machine) copy(t *rapid.T) {
+	for range rapid.IntRange(1, 5).Draw(t, "batches") {
+		b, ok := m.tab.NextCopies(m.now, rapid.IntRange(1, 6).Draw(t, "size"))
+		if !ok || rapid.Bool().Draw(t, "lost") {
+			continue
+		}
+		if len(b.Entries)+len(b.Ended) > 6 {
+			t.Fatalf("batch of %d and %d", len(b.Entries), len(b.Ended))
+		}
+		if ack, ok := m.copies.Apply(m.now, &b); ok && !rapid.Bool().Draw(t, "ack lost") {
+			m.tab.Acknowledge(ack)
+		}
+	}
+}
+
+// settleCopies lets the stream run without loss until nothing is due.
+func (m *machine) settleCopies(t *rapid.T) {
+	for range 1000 {
+		m.now += 100 * time.Millisecond // repeats what was lost
+		b, ok := m.tab.NextCopies(m.now, 50)
+		if ok {
+			if ack, ok := m.copies.Apply(m.now, &b); ok {
+				m.tab.Acknowledge(ack)
+			}
+			continue
+		}
+		if m.tab.CopiesSettled() {
+			return
+		}
+	}
+	t.Fatalf("the copy stream does not settle: %+v", m.tab.Stats(m.now))
+}
+
+// failOver lets the backup take over. Flows older than 2 s must keep their host.
+func (m *machine) failOver(t *rapid.T) {
+	if rapid.Bool().Draw(t, "settled") {
+		m.settleCopies(t)
+	}
+	settled := m.tab.CopiesSettled()
+	entries, base, _ := m.copies.Promote(m.now)
+	m.successor(base, entries)
+	for _, id := range m.ids() {
+		f := m.flows[id]
+		// The copy of a closing flow may be from before it closed.
+		if m.age(id, f) != fresh || m.gone(f.host) || f.closing {
+			delete(m.flows, id)
+			m.lost[id] = true
+			continue
+		}
+		probing := request(id.kind, id.n, flow.ACK, f.seq, 5001, 0)
+		d := m.tab.Packet(m.now, ask(probing, group.AskHolder))
+		if d.Verdict == group.Miss {
+			d = m.tab.Packet(m.now, ask(probing, group.AskDefault))
+			f.adopted = true
+		}
+		switch {
+		case d.Verdict == group.Forward && d.Host == f.host:
+			f.active, f.established = m.now, true
+		case settled && m.now-f.born > 2*time.Second+slack && f.established:
+			t.Fatalf("%v (age %s) on host %d is lost by the backup: %+v", id, m.now-f.born, f.host, d)
+		default:
+			delete(m.flows, id)
+			m.lost[id] = true
+		}
+	}
+}
+
+// ids returns the flows in a fixed order, so that runs can be repeated.
+func (m *machine) ids() []flowID {
+	return slices.SortedFunc(maps.Keys(m.flows), func(a, b flowID) int {
+		return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.n, b.n))
+	})
+}
+
+func (m *machine) successor(base []snapshot.HostID, entries []message.Entry) {
+	m.epoch++
+	m.tab = m.fleet.table(group.Config{Epoch: m.epoch, Base: base})
+	m.tab.Import(m.now, entries)
+	m.copies = group.NewCopies()
+	m.tab.StartCopies(m.now)
+	for _, k := range m.fleet.kinds {
+		m.demand[k.ID] = -time.Hour
+	}
+}
+
+// handOver pulls all flows while packets go on coming. None may be lost.
+func (m *machine) handOver(t *rapid.T) {
+	var entries []message.Entry
+	var cursor uint64
+	for {
+		reply := m.tab.Pull(m.now, cursor, rapid.IntRange(1, 9).Draw(t, "page"))
+		entries = append(entries, reply.Entries...)
+		if cursor = reply.Next; reply.Done {
+			old := m.tab
+			if d := old.Packet(m.now, syn(feed, 999, 1)); d.Verdict != group.Miss || old.Placing() {
+				t.Fatalf("the old owner still places: %+v", d)
+			}
+			m.successor(reply.Base, entries)
+			break
+		}
+		switch rapid.IntRange(0, 2).Draw(t, "between") {
+		case 0:
+			m.opening(t)
+		case 1:
+			m.packet(t)
+		}
+	}
+	for _, id := range m.ids() {
+		f := m.flows[id]
+		if m.age(id, f) != fresh {
+			delete(m.flows, id)
+			m.lost[id] = true
+			continue
+		}
+		f.active = m.now // as far as the new owner knows
+		if f.established && !m.gone(f.host) && !f.closing {
+			d := m.tab.Packet(m.now, ask(request(id.kind, id.n, flow.ACK, f.seq, 5001, 0), group.AskHolder))
+			if d.Verdict != group.Forward || d.Host != f.host {
+				t.Fatalf("%v on host %d is lost by the handover: %+v", id, f.host, d)
+			}
+		}
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	if err := m.tab.CheckCounts(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a flow whose host changes while it is open, counts that
+// drift from the entries, new flows on hosts that take none, refusals of
+// flows that were forwarded, exceeded limits, guarantees and ceilings, and
+// flows lost by handover or by a backup that has confirmed all copies.
+func TestTableMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"open":   m.opening,
+			"open2":  m.opening,
+			"open3":  m.opening,
+			"packet": m.packet,
+			"again":  m.packet,
+			"hosts":  m.changeHosts,
+			"report": m.report,
+			"copy":   m.copy,
+			"time": func(t *rapid.T) {
+				m.now += time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
+			},
+			"tick": func(t *rapid.T) {
+				for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+					m.tab.Tick(m.now)
+				}
+			},
+			"failOver": m.failOver,
+			"handOver": m.handOver,
+			"":         m.check,
+		})
+	})
+}
--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -39,6 +39,7 @@
 	case p.Flags.Has(flow.RST):
 		t.end(now, e)
 		e.SetState(table.Closed)
+		t.notePulled(e, false)
 		return false
 	}
 	if p.Flags.Has(flow.ACK) {
@@ -78,6 +79,9 @@
 	switch {
 	case e.State() == table.SynSeen:
 		e.SetState(table.Established)
+		if !e.Has(table.Counted) {
+			t.count(now, e)
+		}
 		if h := t.hosts.Find(e.Host()); h != nil {
 			t.hosts.Accepted(now, h)
 		}
--- a/core/group/packet.go
+++ b/core/group/packet.go
@@ -13,7 +13,7 @@
 func (t *Table) Packet(now time.Duration, r *Request) Decision {
 	p := r.Packet
 	if e := t.flows.Find(p.Key); e != nil {
-		if !p.Opens() || p.Seq == e.ISN || !t.reusable(now, e) {
+		if !t.opensAnew(now, e, p) {
 			return t.known(now, e, r)
 		}
 		t.remove(now, e)
@@ -21,10 +21,20 @@
 	return t.unknown(now, r)
 }
 
-// reusable reports whether a SYN with another sequence number opens a new
-// flow on the 5-tuple of e.
+// opensAnew reports whether a packet begins a new flow on the 5-tuple of e. For
+// UDP any packet does once the flow is over: its caller cannot be told of the
+// end, and only idempotent kinds are allowed over UDP.
+func (t *Table) opensAnew(now time.Duration, e *table.Entry, p *flow.Packet) bool {
+	if p.Key.Proto == flow.TCP && (!p.Opens() || p.Seq == e.ISN) {
+		return false
+	}
+	return t.reusable(now, e)
+}
+
+// reusable reports whether the flow of e is over as far as this table can tell.
 func (t *Table) reusable(now time.Duration, e *table.Entry) bool {
-	return e.State() >= table.Closing || e.Active.Since(table.StampOf(now)) > t.idle(e)
+	return e.State() >= table.Closing || e.Active.Since(table.StampOf(now)) > t.idle(e) ||
+		!e.Has(table.Redirected) && t.gone(e.Host())
 }
 
 // known handles a packet of a flow that has an entry.
@@ -56,8 +66,6 @@
 func (t *Table) hostGone(now time.Duration, e *table.Entry, p *flow.Packet) Decision {
 	d := Decision{Verdict: Drop, Reason: ReasonHostGone}
 	switch {
-	case p.Key.Proto != flow.TCP:
-		t.remove(now, e)
 	case !p.Opens() && p.Flags.Has(flow.RST):
 		t.remove(now, e)
 	case !p.Opens():
