--- a/cmd/egrettackctl/app.go
+++ b/cmd/egrettackctl/app.go
@@ -7,7 +7,6 @@
 	"io"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
 
 	"egrettack.example/node/rpc"
@@ -69,13 +68,13 @@
 		fmt.Fprintln(out, usage.Message)
 		return exitFine
 	case errors.As(err, &usage) || errors.Is(err, errUsage):
-		fmt.Fprintln(errOut, "egrettackctl:", trace.UserMessage(err))
+		fmt.Fprintln(errOut, "egrettackctl:", oneLine(err))
 		return exitUsage
 	case errors.Is(err, errUnreachable) || errors.Is(err, rpc.ErrUnreachable):
-		fmt.Fprintln(errOut, "egrettackctl:", trace.UserMessage(err))
+		fmt.Fprintln(errOut, "egrettackctl:", oneLine(err))
 		return exitUnreachable
 	case !errors.Is(err, errReported):
-		fmt.Fprintln(errOut, "egrettackctl:", trace.UserMessage(err))
+		fmt.Fprintln(errOut, "egrettackctl:", oneLine(err))
 	}
 	return exitFailed
 }
@@ -123,7 +122,7 @@
 		err = errors.New("--key-file or --key is needed")
 	}
 	if err != nil {
-		return k, fmt.Errorf("%w: %s", errUsage, trace.UserMessage(err))
+		return k, fmt.Errorf("%w: %s", errUsage, oneLine(err))
 	}
 	return k, nil
 }
--- a/cmd/egrettackctl/instances.go
+++ b/cmd/egrettackctl/instances.go
@@ -56,6 +56,10 @@
 			peers = len(ans.Result.Peers)
 		}
 		rows = append(rows, row)
+		if ans.Result == nil {
+			out.add(row.Instance, "", "", "", "", "", "", "", "", "", "", row.Error)
+			continue
+		}
 		out.add(row.Instance, row.ID, row.State, row.Stale, row.Version, row.Owned, row.Backup, row.Flows, row.Backlog,
 			row.Peers[message.Ready.String()], peers, row.Error)
 	}
--- a/cmd/egrettackctl/output.go
+++ b/cmd/egrettackctl/output.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/gravitational/trace"
 )
 
 // table is output for people.
@@ -35,6 +37,11 @@
 	tw.Flush()
 }
 
+// oneLine returns an error in one line; trace puts each step on its own.
+func oneLine(err error) string {
+	return strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ")
+}
+
 // print writes v as JSON or the table, as the options say.
 func (a *app) print(v any, t *table) error {
 	if !a.JSON {
--- a/cmd/egrettackctl/remote.go
+++ b/cmd/egrettackctl/remote.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"sync"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/core/snapshot"
 	"egrettack.example/node/rpc"
 	"egrettack.example/settings/published"
@@ -102,7 +100,7 @@
 			out[i].Instance = addr
 			v, err := call(r.app.ctx, addr)
 			if err != nil {
-				out[i].err, out[i].Error = err, trace.UserMessage(err)
+				out[i].err, out[i].Error = err, oneLine(err)
 				return
 			}
 			out[i].Result = &v
--- a/settings/daemon/daemon.go
+++ b/settings/daemon/daemon.go
@@ -27,7 +27,7 @@
 	Keys          []Key               `json:"keys" required:"true"`
 	Workers       int                 `json:"workers" default:"4" min:"1" max:"256" unit:"goroutines"`
 	ControlBudget int                 `json:"control_budget" default:"9000" min:"1000" max:"100000000" unit:"bytes a second"`
-	StopTimeout   document.Duration   `json:"stop_timeout" default:"60s" min:"1s" max:"24h" unit:"duration"`
+	StopTimeout   document.Duration   `json:"stop_timeout" default:"60s" min:"1s" max:"24h" unit:"us, ms, s, m, h"`
 	TraceSample   float64             `json:"trace_sample" default:"0.001" min:"0" max:"1" unit:"part of flows"`
 	TraceFile     string              `json:"trace_file" default:"" unit:"file path"`
 	LogLevel      string              `json:"log_level" default:"info" oneof:"debug info warn error"`
--- a/settings/tree/node.go
+++ b/settings/tree/node.go
@@ -27,11 +27,11 @@
 	Share       *float64           `json:"share,omitempty" default:"0" min:"0" max:"1" unit:"part from 0 to 1"`
 	Ceiling     *float64           `json:"ceiling,omitempty" default:"1" min:"0" max:"1" unit:"part from 0 to 1"`
 	Occupies    *string            `json:"occupies,omitempty" default:"connection" oneof:"slot connection"`
-	Deadline    *document.Duration `json:"deadline,omitempty" default:"1s" min:"1ms" max:"1h" unit:"duration"`
-	ServiceTime *document.Duration `json:"service_time,omitempty" default:"50ms" min:"1us" max:"1h" unit:"duration"`
+	Deadline    *document.Duration `json:"deadline,omitempty" default:"1s" min:"1ms" max:"1h" unit:"us, ms, s, m, h"`
+	ServiceTime *document.Duration `json:"service_time,omitempty" default:"50ms" min:"1us" max:"1h" unit:"us, ms, s, m, h"`
 	// The default of Idle is above two hours, after which a TCP stack with
 	// usual settings probes a quiet connection.
-	Idle       *document.Duration `json:"idle,omitempty" default:"2h5m" min:"1s" max:"168h" unit:"duration"`
+	Idle       *document.Duration `json:"idle,omitempty" default:"2h5m" min:"1s" max:"168h" unit:"us, ms, s, m, h"`
 	Idempotent *bool              `json:"idempotent,omitempty" default:"false"`
 }
 
@@ -41,7 +41,7 @@
 	Connections *int               `json:"connections,omitempty" default:"2000" min:"1" max:"10000000" unit:"connections"`
 	Queue       *int               `json:"queue,omitempty" default:"4" min:"0" max:"1000000" unit:"waiting requests"`
 	Capacity    *float64           `json:"capacity,omitempty" min:"0.001" max:"1000000" unit:"weight"`
-	WarmUp      *document.Duration `json:"warm_up,omitempty" default:"30s" min:"0s" max:"1h" unit:"duration"`
+	WarmUp      *document.Duration `json:"warm_up,omitempty" default:"30s" min:"0s" max:"1h" unit:"us, ms, s, m, h"`
 }
 
 // Root is the format of the root node.
