--- a/node/platform/platform_test.go
+++ b/node/platform/platform_test.go
@@ -20,6 +20,9 @@
 
 const root = `{"level": "root", "domains": {"north": {"number": 1, "region": "west"}}}`
 
+// quiet drops what clients log.
+var quiet = slog.New(slog.DiscardHandler)
+
 // script answers each call with the next step. It ends the client's run when
 // no step is left.
 type script struct {
--- a/settings/daemon/daemon_test.go
+++ b/settings/daemon/daemon_test.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if _, err := daemon.Parse("f", []byte(good+" // no line break")); err != nil {
+		t.Errorf("a comment in the last line gives %v", err)
+	}
 	if s.ID != 1 || s.Domain != "north" || s.RPC.Port() != 6003 || s.Workers != 2 || s.StopTimeout.Duration != 90*time.Second ||
 		s.ControlBudget != 9000 || s.TraceSample != 0.001 || s.LogLevel != "info" || s.Keys[0].Secret[31] != 0xff {
 		t.Errorf("settings are %+v", s)
--- a/settings/document/document.go
+++ b/settings/document/document.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 
 	"github.com/tailscale/hujson"
@@ -37,11 +38,15 @@
 	if line := tooDeep(text); line > 0 {
 		return nil, Problems{{File: file, Line: line, Text: fmt.Sprintf("nested deeper than %d levels", maxDepth)}}
 	}
+	// hujson takes a comment at the end only when a line break ends it.
+	last := lineAt(text, len(text))
+	text = append(slices.Clip(text), '\n')
 	root, err := hujson.Parse(text)
 	if err != nil {
 		p := Problem{File: file, Line: 1, Text: "syntax: " + err.Error()}
 		if m := syntaxError.FindStringSubmatch(err.Error()); m != nil {
 			p.Line, _ = strconv.Atoi(m[1])
+			p.Line = min(p.Line, last)
 			p.Text = "syntax: " + m[2]
 		}
 		return nil, Problems{p}
