--- a/node/dataplane/worker.go
+++ b/node/dataplane/worker.go
@@ -61,7 +61,10 @@
 	out  []ipv4.Message
 	n    int // used part of out
 
-	addrs    map[netip.AddrPort]*net.UDPAddr
+	addrs map[netip.AddrPort]*net.UDPAddr
+	// plain counts the packets without a reason, by verdict, which are nearly
+	// all; counts has the others.
+	plain    [len(verdictNames)]int
 	counts   map[outcome]int
 	counters map[outcome]prometheus.Counter
 	traces   []*nodetrace.Packet
@@ -232,7 +235,13 @@
 	return a
 }
 
-func (w *worker) count(v engine.Verdict, r group.Reason) { w.counts[outcome{v, r}]++ }
+func (w *worker) count(v engine.Verdict, r group.Reason) {
+	if r == group.ReasonNone {
+		w.plain[v]++
+		return
+	}
+	w.counts[outcome{v, r}]++
+}
 
 // flush sends what the batch has queued and adds its counts to the metrics.
 func (w *worker) flush() {
@@ -259,16 +268,24 @@
 }
 
 func (w *worker) report() {
+	for v, n := range w.plain {
+		w.add(outcome{verdict: engine.Verdict(v)}, n)
+	}
+	w.plain = [len(verdictNames)]int{}
 	for o, n := range w.counts {
-		if n == 0 {
-			continue
-		}
-		c := w.counters[o]
-		if c == nil {
-			c = w.plane.cfg.Metrics.Packets.WithLabelValues(verdictNames[o.verdict], string(o.reason))
-			w.counters[o] = c
-		}
-		c.Add(float64(n))
+		w.add(o, n)
 		w.counts[o] = 0
 	}
 }
+
+func (w *worker) add(o outcome, n int) {
+	if n == 0 {
+		return
+	}
+	c := w.counters[o]
+	if c == nil {
+		c = w.plane.cfg.Metrics.Packets.WithLabelValues(verdictNames[o.verdict], string(o.reason))
+		w.counters[o] = c
+	}
+	c.Add(float64(n))
+}
