--- a/testkit/fabric/fabric.go
+++ b/testkit/fabric/fabric.go
@@ -58,6 +58,7 @@
 	egress  *net.UDPConn
 	in, out *impairer
 	targets atomic.Pointer[[]netip.AddrPort]
+	names   map[netip.AddrPort]string // of hosts and instances by their sockets
 
 	mu      sync.Mutex
 	callers map[flow.Addr]netip.AddrPort // tunnel of a caller by its inner address
@@ -71,7 +72,13 @@
 	f := &Fabric{
 		cfg: cfg, callers: make(map[flow.Addr]netip.AddrPort),
 		in: newImpairer(cfg.Seed, 1), out: newImpairer(cfg.Seed, 2),
-		rnd: rand.New(rand.NewPCG(cfg.Seed, 3)),
+		rnd: rand.New(rand.NewPCG(cfg.Seed, 3)), names: make(map[netip.AddrPort]string),
+	}
+	for _, h := range cfg.World.Hosts {
+		f.names[h.Tunnel] = h.Name
+	}
+	for _, i := range cfg.World.Instances {
+		f.names[i.Data] = i.Name
 	}
 	f.targets.Store(&[]netip.AddrPort{})
 	var err error
@@ -181,13 +188,16 @@
 	_, _ = f.ingress.WriteToUDPAddrPort(d, to)
 }
 
-func (f *Fabric) toCaller(d []byte, _ netip.AddrPort) {
+func (f *Fabric) toCaller(d []byte, from netip.AddrPort) {
 	_, inner, err := geneve.Decode(d)
 	key, ok := geneve.Flow(inner)
 	if err != nil || !ok {
 		f.malformed.Add(1)
 		return
 	}
+	if geneve.Resets(inner) {
+		slog.Info("reset", "sender", f.names[from], "flow", key)
+	}
 	f.mu.Lock()
 	to, ok := f.callers[key.Dst]
 	f.mu.Unlock()
--- a/testkit/geneve/flow.go
+++ b/testkit/geneve/flow.go
@@ -24,12 +24,22 @@
 	return key, true
 }
 
+// Resets reports whether an inner TCP packet has the RST flag.
+func Resets(inner []byte) bool { return flags(inner).Has(flow.RST) }
+
 // Opens reports whether an inner TCP packet is a SYN without ACK.
 func Opens(inner []byte) bool {
+	f := flags(inner)
+	return f.Has(flow.SYN) && !f.Has(flow.ACK)
+}
+
+func flags(inner []byte) flow.Flags {
+	if len(inner) < ipv4Min {
+		return 0
+	}
 	ihl := int(inner[0]&0xf) * 4
 	if len(inner) < ihl+14 || flow.Proto(inner[9]) != flow.TCP {
-		return false
+		return 0
 	}
-	f := flow.Flags(inner[ihl+13])
-	return f.Has(flow.SYN) && !f.Has(flow.ACK)
+	return flow.Flags(inner[ihl+13])
 }
--- a/testkit/layout/layout.go
+++ b/testkit/layout/layout.go
@@ -17,14 +17,14 @@
 
 // Spec says what to generate.
 type Spec struct {
-	Tree        string // directory
-	Out         string // directory
-	BasePort    int    // 0 to look for a free block
-	Domains     []string
-	Instances   int
-	Spare       int            // instances that are not published at first
-	Hosts       map[string]int // by service path
-	SpareHosts  map[string]int
+	Tree       string // directory
+	Out        string // directory
+	BasePort   int    // 0 to look for a free block
+	Domains    []string
+	Instances  int
+	Spare      int            // instances that are not published at first
+	Hosts      map[string]int // by service path
+	SpareHosts map[string]int
 	// Extra names kinds that callers and hosts know but the tree does not, each
 	// with the kind whose address it takes over later.
 	Extra       map[string]string
