--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -37,7 +37,8 @@
 	if !e.tracker.Heartbeat(now, h) {
 		return
 	}
-	e.publish()
+	e.want(h.Version)
+	e.publish(now)
 	if v := e.view.Load(); v != nil {
 		e.settle(now, v)
 		e.takeForeign(now, v, h)
@@ -50,7 +51,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tracker.Tick(now)
-	e.publish()
+	e.publish(now)
 	e.lastTick.Store(int64(now))
 	v := e.view.Load()
 	if v == nil {
@@ -61,7 +62,7 @@
 		e.claim(now, v)
 	}
 	e.clean(now, v)
-	e.publish()
+	e.publish(now)
 	v = e.view.Load()
 	if now-e.counted >= foreignInterval {
 		e.counted = now
@@ -69,6 +70,7 @@
 	}
 	out := e.pulls(now, v, nil)
 	out = e.tables(now, v, out)
+	out = e.sendStrays(now, v, out)
 	out = e.copies(now, v, out)
 	out = e.heartbeats(now, out)
 	return e.fetch(now, v, out)
@@ -86,15 +88,15 @@
 func (e *Engine) fetch(now time.Duration, v *member.View, out []Output) []Output {
 	from := e.tracker.Newest(v.Snapshot.Version)
 	if from == nil {
+		// The peer that had it is gone; nobody can deliver it.
+		e.wanted.CompareAndSwap(e.wanted.Load(), uint64(v.Snapshot.Version))
 		e.behind = 0
 		return out
 	}
 	if e.behind == 0 {
 		e.behind = now
 	}
-	// A packet that this snapshot disagrees on does not wait for the platform.
-	disagreed := e.wanted.Load() > uint64(v.Snapshot.Version)
-	if !disagreed && now-e.behind < fetchDelay || e.fetched != 0 && now-e.fetched < fetchRetry {
+	if now-e.behind < fetchDelay || e.fetched != 0 && now-e.fetched < fetchRetry {
 		return out
 	}
 	e.fetched = now
@@ -273,10 +275,7 @@
 	if l.role != roleOwner {
 		return nil
 	}
-	if t, ok := any(l.table).(interface{ Held() []message.HostCount }); ok {
-		return t.Held()
-	}
-	return nil
+	return l.table.Held()
 }
 
 // merge adds up the counts of each host.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -21,10 +21,14 @@
 
 // Relay is what travels with a packet between instances.
 type Relay struct {
-	Ask     group.Ask
-	Hops    uint8 // relays so far
-	Group   snapshot.GroupID
-	Asker   snapshot.InstanceID // owner that wants to learn the flow's entry, 0 if none
+	Ask   group.Ask
+	Hops  uint8               // relays so far
+	Group snapshot.GroupID    // for AskHolder with an Asker, the asker's group
+	Asker snapshot.InstanceID // owner that wants to learn the flow's entry, 0 if none
+	// Next is whom to ask for the entry after the receiver, 0 if the asker
+	// knows of nobody. The receiver itself stands for "you are the last one",
+	// the asker for "you are the last one, and not all have been asked".
+	Next    snapshot.InstanceID
 	Service snapshot.ServiceID
 	Version snapshot.Version // snapshot in force at the sender
 }
@@ -74,23 +78,25 @@
 type Engine struct {
 	cfg      Config
 	view     atomic.Pointer[member.View]
-	groups   atomic.Pointer[map[snapshot.GroupID]*local]
+	groups   atomic.Pointer[groups]
 	lastTick atomic.Int64  // time of the last Tick
-	wanted   atomic.Uint64 // newest version seen in relay headers
+	wanted   atomic.Uint64 // newest version that a peer is known to have
 
 	// mu guards what follows. It is taken before a group mutex, never by
 	// Packet, and never while a group mutex is held.
-	mu      sync.Mutex
-	tracker *member.Tracker
-	order   []*local // the values of groups, sorted
-	turn    int      // group whose copies go first
-	tokens  float64  // bytes that copies may take
-	filled  time.Duration
-	behind  time.Duration                     // since when a peer has a newer snapshot, 0 if none
-	fetched time.Duration                     // last Output.Fetch
-	counted time.Duration                     // last collection of foreign counts
-	foreign map[snapshot.InstanceID]bool      // peers that reported counts last time
-	probed  map[snapshot.HostID]time.Duration // last answered probe
+	mu          sync.Mutex
+	tracker     *member.Tracker
+	order       []*local // the values of groups, sorted
+	strayTokens float64  // bytes that learn messages for strays may take
+	strayFilled time.Duration
+	turn        int     // group whose copies go first
+	tokens      float64 // bytes that copies may take
+	filled      time.Duration
+	behind      time.Duration                     // since when a peer has a newer snapshot, 0 if none
+	fetched     time.Duration                     // last Output.Fetch
+	counted     time.Duration                     // last collection of foreign counts
+	foreign     map[snapshot.InstanceID]bool      // peers that reported counts last time
+	probed      map[snapshot.HostID]time.Duration // last answered probe
 }
 
 // New returns an engine in state Joining without a snapshot.
@@ -107,7 +113,7 @@
 		foreign: make(map[snapshot.InstanceID]bool),
 		probed:  make(map[snapshot.HostID]time.Duration),
 	}
-	e.groups.Store(&map[snapshot.GroupID]*local{})
+	e.groups.Store(&groups{})
 	e.lastTick.Store(int64(now))
 	return e
 }
@@ -121,7 +127,7 @@
 		return false
 	}
 	e.tracker.SetSnapshot(now, s)
-	e.publish()
+	e.publish(now)
 	for _, l := range e.order {
 		l.update(now, s)
 	}
@@ -137,17 +143,20 @@
 }
 
 // publish puts the present view into force.
-func (e *Engine) publish() {
-	if v := e.tracker.View(); v != e.view.Load() {
+func (e *Engine) publish(now time.Duration) {
+	old := e.view.Load()
+	if v := e.tracker.View(); v != old {
 		e.view.Store(v)
+		e.restray(now, old, v)
 	}
 }
 
 // Output is work that the engine wants done. Exactly one field is set beside To.
 type Output struct {
-	To        *snapshot.Instance // receiver of Heartbeat, Copies and Pull, source of Fetch
+	To        *snapshot.Instance // receiver of Heartbeat, Copies, Learn and Pull, source of Fetch
 	Heartbeat *message.Heartbeat
 	Copies    *message.CopyBatch
+	Learn     *message.Learn
 	Pull      *message.PullRequest
 	Reset     *flow.Reset
 	// Fetch asks for the snapshot difference after this version from peer To.
--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -66,7 +66,7 @@
 		l.mu.Unlock()
 	}
 	if changed {
-		e.publish()
+		e.publish(now)
 	}
 }
 
@@ -80,7 +80,7 @@
 		}
 		l.mu.Lock()
 		if l.role == roleOwner && member.Holds(l.table.Epoch(), e.cfg.Self, c.Epoch, h.From) {
-			l.previous = h.From
+			l.previous, l.keep = h.From, now+handedOverKeep
 			if l.pull.source != h.From {
 				l.pull = pull{source: h.From, merge: true, retry: now + pullRetry}
 			}
@@ -205,7 +205,7 @@
 	if reply.Done && l.role == roleOwner {
 		l.handOver(now, r.From, false)
 		e.tracker.Unclaim(l.id)
-		e.publish()
+		e.publish(now)
 	}
 	return reply, nil
 }
@@ -239,7 +239,7 @@
 	default:
 		e.page(now, v, l, reply)
 	}
-	e.publish()
+	e.publish(now)
 }
 
 // mergePage adds entries of a rival to an owned table.
@@ -297,6 +297,9 @@
 	o := v.Owners[l.id]
 	switch {
 	case l.role == roleOwner:
+		if l.previous != 0 && now > l.keep {
+			l.previous = 0 // it has dropped its table by now
+		}
 		if o != nil && o.Group != nil || l.table.Stats(now).Flows > 0 {
 			return false
 		}
@@ -327,7 +330,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tracker.Leave()
-	e.publish()
+	e.publish(now)
 }
 
 // Left reports whether all groups have been handed over after Leave. Groups
--- a/core/engine/local.go
+++ b/core/engine/local.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,10 +36,13 @@
 	// has been heard; from then on it gets all packets.
 	next    snapshot.InstanceID
 	settled bool
-	keep    time.Duration // until when a handed-over table is kept
+	// keep is until when a handed-over table is kept, or until when the
+	// previous owner is asked.
+	keep time.Duration
 	// previous is asked for entries that the owner lacks.
 	previous snapshot.InstanceID
 	pull     pull
+	strays   strays
 
 	copies     *group.Copies
 	copied     int // entries received as copies in this epoch
@@ -49,8 +53,15 @@
 	hadForeign map[snapshot.InstanceID]bool
 }
 
+// groups are the groups that this instance has state of. It is immutable,
+// since Packet reads it without a lock.
+type groups struct {
+	byID map[snapshot.GroupID]*local
+	list []*local // sorted
+}
+
 // local returns the state of a group, or nil.
-func (e *Engine) local(id snapshot.GroupID) *local { return (*e.groups.Load())[id] }
+func (e *Engine) local(id snapshot.GroupID) *local { return e.groups.Load().byID[id] }
 
 // ensure returns the state of a group and makes it if there is none.
 func (e *Engine) ensure(id snapshot.GroupID) *local {
@@ -73,14 +84,14 @@
 	e.index()
 }
 
-// index publishes a new map of groups, since Packet reads it without a lock.
+// index publishes the present groups.
 func (e *Engine) index() {
 	sortLocals(e.order)
-	m := make(map[snapshot.GroupID]*local, len(e.order))
+	g := &groups{byID: make(map[snapshot.GroupID]*local, len(e.order)), list: slices.Clone(e.order)}
 	for _, l := range e.order {
-		m[l.id] = l
+		g.byID[l.id] = l
 	}
-	e.groups.Store(&m)
+	e.groups.Store(g)
 }
 
 // groupIn returns the group in a snapshot. For one that is no longer there it
@@ -119,7 +130,7 @@
 // own makes this instance the owner of a group. The caller holds l.mu.
 func (l *local) own(now time.Duration, t *group.Table, previous snapshot.InstanceID) {
 	l.role, l.table, l.previous = roleOwner, t, previous
-	l.next, l.settled, l.keep = 0, false, 0
+	l.next, l.settled, l.keep = 0, false, now+handedOverKeep
 	l.pull = pull{}
 	l.backup = 0
 	l.copies, l.copied = nil, 0
--- a/core/engine/lookup.go
+++ b/core/engine/lookup.go
@@ -1,10 +1,28 @@
 package engine
 
 import (
+	"slices"
+	"time"
+
 	"egrettack.example/core/group"
 	"egrettack.example/core/snapshot"
 )
 
+const (
+	// maxAsked is the number of other instances that a packet can visit on its
+	// way back to the owner within MaxHops.
+	maxAsked = 2
+	// pastKeep is how long after a change of the ranking the owners of a
+	// flow's earlier groups are asked for it. By then strays has told the new
+	// ones where such flows are.
+	pastKeep = 2 * time.Minute
+	// askTurn is the time after which a retransmission begins with another
+	// candidate, when there are more than maxAsked.
+	askTurn = 250 * time.Millisecond
+	// maxCandidates bounds the groups that may hold one flow.
+	maxCandidates = 2*snapshot.PastDepth + 3
+)
+
 // held forwards a packet if a table of this instance has an entry for it in
 // the group, whatever the instance's role.
 func (e *Engine) held(w *work, id snapshot.GroupID) (Action, bool) {
@@ -41,88 +59,144 @@
 	if w.turns++; w.turns > maxTurns {
 		return Action{}, false
 	}
-	if l := e.local(id); l != nil {
-		if a, ok := e.held(w, id); ok {
-			return a, true
-		}
+	if a, ok := e.held(w, id); ok {
+		return a, true
 	}
 	to := w.target(id)
-	if to == nil || to.ID == w.asker || w.hops >= MaxHops {
+	if to == nil || to.ID == w.v.Self || to.ID == w.asker || w.hops >= MaxHops {
 		return Action{}, false
 	}
-	return e.relay(w, id, group.AskHolder, to), true
+	if w.asker == 0 {
+		return e.relay(w, id, group.AskHolder, to), true
+	}
+	return e.relay(w, w.own, group.AskHolder, to), true
 }
 
-// candidate is the group beside own that may hold a flow which the owner of
-// own has no entry for. The group that ranked first by the snapshot before goes before the flow's
-// second group: a change of the host list gives some flows another first
-// group. More than one does not fit the hop limit beside the previous owner.
-func (w *work) candidate(own snapshot.GroupID) snapshot.GroupID {
-	if w.bind.Moved != 0 && w.bind.From != w.bind.Service.ID {
-		if g, ok := w.movedFrom(); ok {
-			return g
+// heldHere looks for the flow in all groups of its service here, and of the
+// service that the address has moved from.
+func (e *Engine) heldHere(w *work) (Action, bool) {
+	for _, l := range e.groups.Load().list {
+		if s := l.id.Service; s != w.bind.Service.ID && (w.bind.Moved == 0 || s != w.bind.From) {
+			continue
+		}
+		if a, ok := e.held(w, l.id); ok {
+			return a, true
 		}
 	}
-	if g, ok := w.before(); ok && g != own && w.v.Owners[g] != nil {
-		return g
+	return Action{}, false
+}
+
+// candidates are groups that may hold a flow, in the order in which they are asked.
+type candidates struct {
+	list [maxCandidates]snapshot.GroupID
+	n    int
+}
+
+func (c *candidates) all() []snapshot.GroupID { return c.list[:c.n] }
+
+func (c *candidates) add(w *work, own, id snapshot.GroupID) {
+	if id != (snapshot.GroupID{}) && id != own && w.v.Owners[id] != nil && !slices.Contains(c.all(), id) && c.n < len(c.list) {
+		c.list[c.n] = id
+		c.n++
 	}
-	return w.other(own)
 }
 
-// before is the flow's first group by the snapshot before this one.
-func (w *work) before() (snapshot.GroupID, bool) {
-	if w.v.Previous == nil {
-		return snapshot.GroupID{}, false
+// candidates are the groups beside own that may hold the flow: those that
+// ranked first for it in the service that the address has moved from, then
+// those that ranked first before the host list changed, then its second group.
+func (w *work) candidates(own snapshot.GroupID) *candidates {
+	c := &candidates{}
+	if w.bind.Moved != 0 {
+		if svc := w.v.Snapshot.Services[w.bind.From]; svc != nil {
+			if r := svc.Rank(w.p.Key)[0]; r >= 0 {
+				c.add(w, own, svc.Groups[r].ID)
+			}
+			c.addPast(w, own, svc)
+		}
 	}
-	b, ok := w.v.Previous.Lookup(endpoint(w.p.Key))
-	if !ok {
-		return snapshot.GroupID{}, false
+	c.addPast(w, own, w.bind.Service)
+	c.add(w, own, w.other(own))
+	if id, ok := w.abroad(); ok {
+		c.add(w, own, id)
 	}
-	r := b.Service.Rank(w.p.Key)[0]
-	if r < 0 {
+	return c
+}
+
+// abroad is the flow's third group when it is the first of another domain than
+// its first group: it got the flow if that domain was cut off at the time.
+func (w *work) abroad() (snapshot.GroupID, bool) {
+	r := w.bind.Service.Rank(w.p.Key)
+	if r[2] < 0 {
 		return snapshot.GroupID{}, false
 	}
-	return b.Service.Groups[r].ID, true
+	home, third := w.owners[r[0]].ID, w.owners[r[2]].ID
+	return third, home.Domain == w.owners[r[1]].ID.Domain && home.Domain != third.Domain
 }
 
-// movedFrom is the flow's first group in the service that the address led to
-// before it moved.
-func (w *work) movedFrom() (snapshot.GroupID, bool) {
-	svc := w.v.Snapshot.Services[w.bind.From]
-	if svc == nil {
-		return w.before()
+func (c *candidates) addPast(w *work, own snapshot.GroupID, svc *snapshot.Service) {
+	if at, ok := w.v.Reranked[svc.ID]; !ok || w.now-at > pastKeep {
+		return
 	}
-	r := svc.Rank(w.p.Key)[0]
-	if r < 0 {
-		return snapshot.GroupID{}, false
+	for _, id := range svc.Past(w.p.Key) {
+		c.add(w, own, id)
 	}
-	return svc.Groups[r].ID, true
 }
 
-// lookUp asks the other candidates for a flow that the owner has no entry for:
-// first the previous owner of the group, or else its backup, then the owner of
-// the candidate group.
-func (e *Engine) lookUp(w *work, l *local) Action {
-	w.asker = w.v.Self
+// others are the instances to ask for a flow, each once.
+type others struct {
+	list [maxCandidates + 1]*snapshot.Instance
+	n    int
+}
+
+func (o *others) add(w *work, to *snapshot.Instance) {
+	if to == nil || to.ID == w.v.Self || slices.Contains(o.list[:o.n], to) {
+		return
+	}
+	o.list[o.n] = to
+	o.n++
+}
+
+// others lists whom the owner of l asks for a flow that it has no entry for:
+// first the previous owner of the group, or else its backup, then the owners
+// of the candidate groups.
+func (e *Engine) others(w *work, l *local) (o others) {
 	l.mu.Lock()
 	previous := l.previous
 	l.mu.Unlock()
-	next := w.candidate(l.id)
-	// A candidate that this instance holds itself costs no relay. No redirect
-	// is kept for it, since finding the flow again costs one look-up.
-	if a, ok := e.held(w, next); ok {
-		return a
+	if w.known(previous) {
+		o.add(w, w.v.Instance(previous))
 	}
-	if !w.known(previous) && next == w.other(l.id) {
-		previous = w.backup(l.id)
+	c := w.candidates(l.id)
+	for _, id := range c.all() {
+		o.add(w, w.target(id))
 	}
-	if w.known(previous) {
-		return e.relay(w, l.id, group.AskHolder, w.v.Instance(previous))
+	if backup := w.backup(l.id); o.n < maxAsked && !w.known(previous) && w.known(backup) {
+		o.add(w, w.v.Instance(backup))
 	}
-	if a, ok := e.ask(w, next); ok {
+	return o
+}
+
+// lookUp asks other instances for a flow that the owner has no entry for.
+// Those that hold it forward the packet and tell this one.
+func (e *Engine) lookUp(w *work, l *local) Action {
+	w.asker, w.own = w.v.Self, l.id
+	// Asking here costs no relay. No redirect is kept for such a flow, since
+	// finding it again costs one look-up.
+	if a, ok := e.heldHere(w); ok {
 		return a
 	}
-	return e.asDefault(w, l.id)
+	o := e.others(w, l)
+	if o.n == 0 {
+		return e.asDefault(w, l.id)
+	}
+	start := 0
+	if o.n > maxAsked {
+		start = int(w.now/askTurn) % o.n
+	}
+	if o.n > 1 {
+		w.next = o.list[(start+1)%o.n].ID
+	}
+	return e.relay(w, l.id, group.AskHolder, o.list[start])
 }
 
 // known reports whether id is another instance that can be asked.
@@ -132,88 +206,89 @@
 
 // backup is the next-ranked instance for a group.
 func (w *work) backup(id snapshot.GroupID) snapshot.InstanceID {
-	o := w.v.Owners[id]
-	if o == nil {
-		return 0
-	}
-	for _, r := range o.Ranked {
-		if r != w.v.Self {
-			return r
-		}
+	if o := w.v.Owners[id]; o != nil {
+		return backupOf(o, w.v.Self)
 	}
 	return 0
 }
 
-// ask looks a flow up in a group, here or at its owner.
-func (e *Engine) ask(w *work, id snapshot.GroupID) (Action, bool) {
-	if id == (snapshot.GroupID{}) {
-		return Action{}, false
-	}
-	if a, ok := e.held(w, id); ok {
-		return a, true
-	}
-	to := w.target(id)
-	if to == nil || to.ID == w.v.Self || to.ID == w.asker {
-		return Action{}, false
-	}
-	return e.relay(w, id, group.AskHolder, to), true
-}
-
-// asHolder answers an owner that looks for a flow's entry.
-func (e *Engine) asHolder(w *work, id snapshot.GroupID) Action {
-	if a, ok := e.held(w, id); ok {
+// asHolder answers an owner that looks for a flow's entry, or passes the
+// question on, or tells the owner that nobody holds the flow.
+func (e *Engine) asHolder(w *work) Action {
+	if a, ok := e.heldHere(w); ok {
 		return a
 	}
 	if w.asker == 0 {
 		return e.missed(w, group.AskHolder)
 	}
-	own := e.askerGroup(w)
-	if id == own {
-		if a, ok := e.ask(w, w.candidate(own)); ok {
-			return a
-		}
-	} else if to := w.target(id); to != nil && to.ID != w.asker && w.hops+1 < MaxHops {
-		// The asker's view of the candidate's owner is behind.
-		if l := e.local(id); l == nil || l.passes() {
-			return e.relay(w, id, group.AskHolder, to)
+	if w.next == w.asker {
+		return drop(group.ReasonHops)
+	}
+	if w.next != w.v.Self {
+		if to := w.askNext(); to != nil && w.hops+1 >= MaxHops {
+			// The packet could not come back. A retransmission finds a shorter
+			// way once the views agree.
+			return drop(group.ReasonHops)
+		} else if to != nil {
+			return e.relay(w, w.own, group.AskHolder, to)
 		}
 	}
+	w.next = 0
 	asker := w.v.Instance(w.asker)
 	w.asker = 0
-	return e.relay(w, own, group.AskDefault, asker)
+	return e.relay(w, w.own, group.AskDefault, asker)
 }
 
-// passes reports whether another instance decides for the group.
-func (l *local) passes() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.role != roleOwner
-}
-
-// askerGroup is the group whose owner asks: the first of the flow's groups
-// that the asker is the owner of.
-func (e *Engine) askerGroup(w *work) snapshot.GroupID {
-	for _, r := range w.bind.Service.Rank(w.p.Key) {
-		if r < 0 {
-			break
-		}
-		if o := w.owners[r]; o.Target != nil && o.Target.ID == w.asker {
-			return o.ID
+// askNext is whom to ask after this instance: the one that the asker named, or
+// an owner of a candidate group that only this instance knows of. The asker
+// may have joined after the host list changed and not know the earlier ranks.
+func (w *work) askNext() *snapshot.Instance {
+	var o others
+	asker := w.v.Instance(w.asker)
+	if w.known(w.next) {
+		o.add(w, w.v.Instance(w.next))
+	}
+	c := w.candidates(w.own)
+	for _, id := range c.all() {
+		if to := w.target(id); to != asker {
+			o.add(w, to)
 		}
 	}
-	if w.home < 0 {
-		return snapshot.GroupID{}
+	switch o.n {
+	case 0:
+		return nil
+	case 1:
+		w.next = o.list[0].ID
+		return o.list[0]
 	}
-	return w.owners[w.home].ID
+	w.next = w.asker
+	return o.list[int(w.now/askTurn)%o.n]
 }
 
-// asDefault decides on a packet of a flow that no instance holds.
+// asDefault decides on a packet of a flow that no instance holds. When not all
+// candidates fit into one round, the packet is dropped: the next one asks others.
+//
+// The default host is a guess that the address still belongs to the service.
+// An instance that knows of a newer snapshot, or that may have missed one
+// because a domain is cut off, does not guess: the flow may belong to another
+// service by now, whose packets must not reach this one's hosts.
 func (e *Engine) asDefault(w *work, id snapshot.GroupID) Action {
 	l := e.local(id)
 	if l == nil || w.stale {
 		return drop(group.ReasonHandover)
 	}
-	w.asker = 0
+	switch {
+	case w.opens():
+	case e.wanted.Load() > uint64(w.v.Snapshot.Version):
+		return drop(group.ReasonVersion)
+	case w.v.Parted:
+		return drop(group.ReasonUnreachable)
+	default:
+		if o := e.others(w, l); o.n > maxAsked {
+			return drop(group.ReasonHops)
+		}
+	}
+	w.asker, w.next = 0, 0
 	req := e.request(w, id, group.AskDefault)
 	l.mu.Lock()
 	if l.role != roleOwner {
--- a/core/engine/packet.go
+++ b/core/engine/packet.go
@@ -16,7 +16,7 @@
 
 // maxTurns bounds the decisions on one packet within this instance, in case
 // groups that it owns redirect to one another.
-const maxTurns = 4
+const maxTurns = 8
 
 // work is one packet on its way through this instance.
 type work struct {
@@ -31,7 +31,10 @@
 	hops                uint8
 	turns               uint8
 	stale               bool
-	asker               snapshot.InstanceID
+	// asker is the owner that looks for the flow's entry, own the group that
+	// it does so for, and next the instance to be asked after this one.
+	asker, next snapshot.InstanceID
+	own         snapshot.GroupID
 }
 
 func endpoint(k flow.Key) snapshot.Endpoint {
@@ -91,7 +94,7 @@
 	if newer {
 		e.want(relay.Version)
 	}
-	bind, ok := v.Snapshot.Lookup(endpoint(p.Key))
+	bind, ok := v.Lookup(endpoint(p.Key))
 	switch {
 	case !ok && newer:
 		return drop(group.ReasonVersion)
@@ -122,6 +125,11 @@
 	switch {
 	case w.first < 0:
 		return drop(group.ReasonUnreachable)
+	case w.opens() && !w.v.Settled(w.now, w.bind.Moved):
+		// An instance that does not know of the move would take the flow for
+		// one of the old service. The caller's retransmission finds the move
+		// known everywhere.
+		return drop(group.ReasonMoved)
 	case w.first != w.home && !w.opens():
 		// The flow's own group may hold it, so only an existing entry counts.
 		return e.toGroup(w, w.owners[w.first].ID, group.AskHolder)
@@ -139,8 +147,8 @@
 	}
 	switch r.Ask {
 	case group.AskHolder:
-		w.asker = r.Asker
-		return e.asHolder(w, r.Group)
+		w.asker, w.next, w.own = r.Asker, r.Next, r.Group
+		return e.asHolder(w)
 	case group.AskDefault:
 		return e.asDefault(w, r.Group)
 	}
@@ -253,7 +261,7 @@
 		return drop(group.ReasonHops)
 	}
 	return Action{Verdict: ToPeer, Peer: to, Relay: Relay{
-		Ask: ask, Hops: w.hops + 1, Group: id, Asker: w.asker,
+		Ask: ask, Hops: w.hops + 1, Group: id, Asker: w.asker, Next: w.next,
 		Service: w.bind.Service.ID, Version: w.v.Snapshot.Version,
 	}}
 }
@@ -299,7 +307,7 @@
 	a := Action{Verdict: ToHost, Host: h}
 	if ask == group.AskHolder && w.asker != 0 && w.asker != w.v.Self && id.Service == w.bind.Service.ID {
 		a.LearnTo = w.v.Instance(w.asker)
-		a.Learn = message.Learn{From: w.v.Self, Group: e.askerGroup(w), Entry: d.Entry, HeldBy: id}
+		a.Learn = message.Learn{From: w.v.Self, Group: w.own, Entry: d.Entry, HeldBy: id}
 	}
 	return a
 }
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -83,7 +83,7 @@
 	}
 	var b strings.Builder
 	w := work{now: now, p: &flow.Packet{Key: k}, v: v}
-	bind, ok := v.Snapshot.Lookup(endpoint(k))
+	bind, ok := v.Lookup(endpoint(k))
 	if !ok {
 		return fmt.Sprintf("flow %s: destination %s is in no service of version %d; packets are dropped",
 			k, endpoint(k), v.Snapshot.Version)
--- a/core/member/heartbeat.go
+++ b/core/member/heartbeat.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 
 // Size is the estimated size of a heartbeat on the wire in bytes.
 func Size(h *message.Heartbeat) int {
-	return HeartbeatBytes + claimBytes*len(h.Claims) + countBytes*len(h.Foreign) + unrankedBytes*len(h.Unranked)
+	return HeartbeatBytes + claimBytes*len(h.Claims) + countBytes*len(h.Foreign) + unrankedBytes*len(h.Unranked) + moveBytes*len(h.Moved)
 }
 
 // Due returns a heartbeat and its recipients when one is due, else nil. The
@@ -70,7 +71,7 @@
 func (t *Tracker) heartbeat() *message.Heartbeat {
 	h := &message.Heartbeat{
 		From: t.cfg.Self, Boot: t.cfg.Boot, State: t.state, Version: t.snap.Version,
-		Foreign: t.foreign,
+		Foreign: t.foreign, Moved: t.latestMoves(),
 	}
 	for g, epoch := range t.own {
 		h.Claims = append(h.Claims, message.Claim{Group: g, Epoch: epoch})
@@ -82,6 +83,21 @@
 	return h
 }
 
+// latestMoves are the latest moves that this or another instance has seen.
+func (t *Tracker) latestMoves() []snapshot.Move {
+	list := slices.Clone(t.snap.Moves())
+	for e, m := range t.moves {
+		if b, ok := t.snap.Lookup(e); ok && b.Moved == 0 {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b snapshot.Move) int {
+		return cmp.Or(cmp.Compare(b.Version, a.Version),
+			cmp.Compare(a.Endpoint.Addr, b.Endpoint.Addr), cmp.Compare(a.Endpoint.Port, b.Endpoint.Port))
+	})
+	return list[:min(len(list), maxMoves)]
+}
+
 func (t *Tracker) unranked() []snapshot.InstanceID {
 	var out []snapshot.InstanceID
 	for id, p := range t.peers {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -23,6 +23,9 @@
 	// claimBytes and countBytes are what one claim and one foreign count add.
 	claimBytes = 12
 	countBytes = 10
+	// moveBytes is what one move of an endpoint adds, and maxMoves bounds them.
+	moveBytes = 20
+	maxMoves  = 8
 	// unrankedBytes is what one unranked instance adds.
 	unrankedBytes = 3
 	// MeshLimit is the largest number of instances, over all domains, of
@@ -35,6 +38,9 @@
 	// paused.
 	StaleGap = time.Second
 
+	// SettleTime is the bound within which a version is in force everywhere.
+	SettleTime = 9 * time.Second
+
 	missedSuspected = 3
 	missedGone      = 5
 	// staleIntervals bounds how long a woken process waits for its peers.
@@ -97,8 +103,16 @@
 	State    message.State
 	Stale    bool
 	Snapshot *snapshot.Snapshot
-	// Previous is the snapshot before, by which older flows were ranked.
-	Previous *snapshot.Snapshot
+	// Parted is true while a listed domain is not heard of.
+	Parted bool
+	// floor is the oldest version in force at an instance that is alive, and
+	// since when each recent version is in force here.
+	floor snapshot.Version
+	taken map[snapshot.Version]time.Duration
+	// moves are those that other instances have seen.
+	moves map[snapshot.Endpoint]snapshot.Move
+	// Reranked tells when the ranking of a service's groups last changed.
+	Reranked map[snapshot.ServiceID]time.Duration
 	Peers    map[snapshot.InstanceID]*Peer
 	Owners   map[snapshot.GroupID]*Ownership
 	// Mine are the groups that this instance ranks first for, sorted.
@@ -107,6 +121,28 @@
 	services map[snapshot.ServiceID][]*Ownership
 }
 
+// Settled reports whether a version is in force at all instances that are
+// alive, as far as heartbeats tell, or has been here for SettleTime.
+func (v *View) Settled(now time.Duration, version snapshot.Version) bool {
+	if version <= v.floor {
+		return true
+	}
+	at, ok := v.taken[version]
+	return !ok || now-at > SettleTime
+}
+
+// Lookup returns what the destination leads to. Moves that only other
+// instances have seen are part of it.
+func (v *View) Lookup(e snapshot.Endpoint) (snapshot.Binding, bool) {
+	b, ok := v.Snapshot.Lookup(e)
+	if ok && b.Moved == 0 && len(v.moves) > 0 {
+		if m, moved := v.moves[e]; moved && m.To == b.Service.ID {
+			b.Moved, b.From = m.Version, m.From
+		}
+	}
+	return b, ok
+}
+
 // Groups returns the ownerships of a service, indexed as Service.Groups.
 func (v *View) Groups(s snapshot.ServiceID) []*Ownership { return v.services[s] }
 
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -44,7 +45,10 @@
 type Tracker struct {
 	cfg      Config
 	snap     *snapshot.Snapshot
-	previous *snapshot.Snapshot
+	taken    map[snapshot.Version]time.Duration // never changed, only replaced
+	floor    snapshot.Version
+	moves    map[snapshot.Endpoint]snapshot.Move  // never changed, only replaced
+	reranked map[snapshot.ServiceID]time.Duration // never changed, only replaced
 	state    message.State
 	begun    time.Duration // first snapshot
 	peers    map[snapshot.InstanceID]*peer
@@ -81,7 +85,9 @@
 	if t.snap == nil {
 		t.begun = now
 	}
-	t.previous, t.snap = t.snap, s
+	t.rerank(now, s)
+	t.take(now, s)
+	t.snap = s
 	for _, p := range t.peers {
 		p.listed = false
 	}
@@ -103,6 +109,50 @@
 	t.dirty = true
 }
 
+// take notes when a version came into force here. Versions between the one
+// before and this one are not noted, which counts as the same time.
+func (t *Tracker) take(now time.Duration, s *snapshot.Snapshot) {
+	next := map[snapshot.Version]time.Duration{s.Version: now}
+	for v, at := range t.taken {
+		if now-at <= SettleTime {
+			next[v] = at
+		}
+	}
+	t.taken = next
+}
+
+// lowest is the oldest version in force at a live instance. Beyond MeshLimit
+// it is unknown, since most heartbeats are not heard.
+func (t *Tracker) lowest() snapshot.Version {
+	if !t.mesh() {
+		return 0
+	}
+	v := t.snap.Version
+	for _, p := range t.peers {
+		if p.heard && p.judged != message.Suspected && p.judged != message.Gone {
+			v = min(v, p.version)
+		}
+	}
+	return v
+}
+
+// rerank notes which services rank their groups anew.
+func (t *Tracker) rerank(now time.Duration, s *snapshot.Snapshot) {
+	if t.snap == nil {
+		return
+	}
+	next := maps.Clone(t.reranked)
+	if next == nil {
+		next = make(map[snapshot.ServiceID]time.Duration)
+	}
+	for id, svc := range s.Services {
+		if old := t.snap.Services[id]; old != nil && !old.SameRanks(svc) {
+			next[id] = now
+		}
+	}
+	t.reranked = next
+}
+
 // Heartbeat takes a peer's heartbeat. Those of unlisted instances are ignored,
 // since nothing but the list tells their domain and addresses; so are late
 // ones and those of an earlier process. It returns false for an ignored one.
@@ -123,8 +173,14 @@
 		p.announce, p.claims = h.State, slices.Clone(h.Claims)
 		t.dirty = true
 	}
-	p.version = h.Version
+	if p.version != h.Version {
+		p.version = h.Version
+		if t.snap != nil {
+			t.dirty = t.dirty || t.lowest() != t.floor
+		}
+	}
 	t.hearDomain(now, p, h)
+	t.hearMoves(h.Moved)
 	if t.stale && p.inst.Domain == t.cfg.Domain {
 		t.sinceWoke[h.From] = true
 	}
@@ -146,6 +202,22 @@
 	}
 }
 
+// hearMoves notes moves of endpoints that a peer has seen.
+func (t *Tracker) hearMoves(list []snapshot.Move) {
+	for _, m := range list {
+		if old, ok := t.moves[m.Endpoint]; ok && old.Version >= m.Version {
+			continue
+		}
+		next := maps.Clone(t.moves)
+		if next == nil {
+			next = make(map[snapshot.Endpoint]snapshot.Move)
+		}
+		next[m.Endpoint] = m
+		t.moves = next
+		t.dirty = true
+	}
+}
+
 // forget drops the claims of an instance that has started anew: it kept no
 // state, so nothing can be pulled from it.
 func (t *Tracker) forget(id snapshot.InstanceID) {
@@ -263,6 +335,9 @@
 		switch {
 		case !p.listed || now-p.since > late(missedGone, BaseInterval):
 			return message.Gone
+		case p.since == t.begun && !p.inst.Leaving:
+			// It was listed before this process began, so it most likely runs.
+			return message.Ready
 		default:
 			return message.Joining
 		}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -76,9 +76,11 @@
 }
 
 func (t *Tracker) build() *View {
+	t.floor = t.lowest()
 	v := &View{
 		Self: t.cfg.Self, State: t.state, Stale: t.stale,
-		Snapshot: t.snap, Previous: t.previous,
+		Snapshot: t.snap, Reranked: t.reranked,
+		Parted: t.parted(), floor: t.floor, taken: t.taken, moves: t.moves,
 		Peers:    make(map[snapshot.InstanceID]*Peer, len(t.peers)),
 		Owners:   make(map[snapshot.GroupID]*Ownership, len(t.snap.Groups)),
 		services: make(map[snapshot.ServiceID][]*Ownership, len(t.snap.Services)),
@@ -106,6 +108,22 @@
 	return v
 }
 
+// parted reports whether all instances of a listed domain are silent.
+func (t *Tracker) parted() bool {
+	alive := map[snapshot.DomainID]bool{t.cfg.Domain: true}
+	for _, p := range t.peers {
+		if p.judged != message.Suspected && p.judged != message.Gone {
+			alive[p.inst.Domain] = true
+		}
+	}
+	for _, p := range t.peers {
+		if p.listed && !alive[p.inst.Domain] {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Tracker) eligible(v *View) (map[snapshot.DomainID][]snapshot.InstanceID, []snapshot.InstanceID) {
 	byDomain := make(map[snapshot.DomainID][]snapshot.InstanceID)
 	var all []snapshot.InstanceID
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -68,6 +68,9 @@
 	// keeps the rankings of other domains right when they hear only a sample
 	// of the domain's heartbeats.
 	Unranked []snapshot.InstanceID
+	// Moved lists the latest moves of endpoints between services, which an
+	// instance that started after them cannot see in its snapshot.
+	Moved []snapshot.Move
 }
 
 // HostCount is a number of open flows on one host.
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -29,7 +29,21 @@
 	seedBucket
 )
 
-type rankRow [RankDepth]int32
+// PastDepth is the number of earlier rankings that a snapshot remembers of a
+// service. Flows outlive changes of the host list, and a quiet flow may meet
+// its first packet after several of them.
+const PastDepth = 4
+
+// maxGroups bounds the groups of one service, since ranks are kept as int16.
+const maxGroups = 1<<15 - 1
+
+type rankRow [RankDepth]int16
+
+// pastRank is the first group of each bucket in an earlier ranking.
+type pastRank struct {
+	groups []GroupID
+	first  []int16
+}
 
 // Input is all that a snapshot is built from.
 type Input struct {
@@ -51,10 +65,11 @@
 	Groups    map[GroupID]*Group
 	endpoints map[Endpoint]Binding
 	hostGroup map[HostID]*Group
+	moves     []Move
 }
 
 // New builds a snapshot. previous may be nil; it tells which endpoints have
-// moved from one service to another.
+// moved from one service to another and how flows were ranked before.
 func New(in Input, previous *Snapshot) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:   in.Version,
@@ -81,7 +96,7 @@
 		size = DefaultGroupSize
 	}
 	for i := range in.Services {
-		if err := s.addService(in.Services[i], hosts[in.Services[i].ID], size); err != nil {
+		if err := s.addService(in.Services[i], hosts[in.Services[i].ID], size, previous); err != nil {
 			return nil, err
 		}
 	}
@@ -138,7 +153,7 @@
 	return byService, nil
 }
 
-func (s *Snapshot) addService(svc Service, hosts []*Host, size int) error {
+func (s *Snapshot) addService(svc Service, hosts []*Host, size int, previous *Snapshot) error {
 	if svc.ID == 0 || svc.ID > MaxServiceID {
 		return fmt.Errorf("service %s: number %d is not between 1 and %d", svc.Name, svc.ID, MaxServiceID)
 	}
@@ -146,7 +161,10 @@
 		return fmt.Errorf("service %s: number %d is used twice", svc.Name, svc.ID)
 	}
 	svc.Groups = formGroups(svc.ID, hosts, size)
-	svc.ranks = rankGroups(svc.Groups)
+	if len(svc.Groups) > maxGroups {
+		return fmt.Errorf("service %s: %d groups are more than %d", svc.Name, len(svc.Groups), maxGroups)
+	}
+	svc.rank(previous)
 	p := &svc
 	s.Services[svc.ID] = p
 	for _, g := range svc.Groups {
@@ -181,9 +199,16 @@
 			b.Moved, b.From = old.Moved, old.From
 		}
 		s.endpoints[e] = b
+		if b.Moved != 0 {
+			s.moves = append(s.moves, Move{Endpoint: e, From: b.From, To: b.Service.ID, Version: b.Moved})
+		}
 	}
 }
 
+// Moves returns the endpoints that have moved between services as far as this
+// instance has seen, in no order.
+func (s *Snapshot) Moves() []Move { return s.moves }
+
 // Lookup returns what the destination leads to.
 func (s *Snapshot) Lookup(e Endpoint) (Binding, bool) {
 	b, ok := s.endpoints[e]
@@ -206,7 +231,70 @@
 	if len(s.ranks) == 0 {
 		return [RankDepth]int32{-1, -1, -1}
 	}
-	return s.ranks[k.Hash(seedBucket)%RankBuckets]
+	row := s.ranks[bucketOf(k)]
+	return [RankDepth]int32{int32(row[0]), int32(row[1]), int32(row[2])}
+}
+
+func bucketOf(k flow.Key) uint64 { return k.Hash(seedBucket) % RankBuckets }
+
+// Past returns the flow's first groups by earlier rankings, latest first and
+// each once; the zero GroupID fills the rest. Its present first group may be
+// among them.
+func (s *Service) Past(k flow.Key) [PastDepth]GroupID {
+	var out [PastDepth]GroupID
+	n := 0
+	for _, p := range s.past {
+		i := p.first[bucketOf(k)]
+		if i < 0 || slices.Contains(out[:n], p.groups[i]) {
+			continue
+		}
+		out[n] = p.groups[i]
+		n++
+	}
+	return out
+}
+
+// SameRanks reports whether both rank every flow alike.
+func (s *Service) SameRanks(o *Service) bool {
+	return len(s.ranks) == len(o.ranks) && (len(s.ranks) == 0 || &s.ranks[0] == &o.ranks[0])
+}
+
+// rank ranks the groups of the service. It takes over the ranking of the
+// previous snapshot when groups and weights are the same, which makes most
+// changes cheap, and otherwise remembers that ranking.
+func (s *Service) rank(previous *Snapshot) {
+	var old *Service
+	if previous != nil {
+		old = previous.Services[s.ID]
+	}
+	switch {
+	case old == nil:
+		s.ranks = rankGroups(s.Groups)
+		return
+	case sameGroups(old.Groups, s.Groups):
+		s.ranks, s.past = old.ranks, old.past
+		return
+	}
+	s.ranks = rankGroups(s.Groups)
+	s.past = old.past
+	if len(old.ranks) > 0 {
+		s.past = append([]pastRank{old.pastRank()}, old.past[:min(len(old.past), PastDepth-1)]...)
+	}
+}
+
+func (s *Service) pastRank() pastRank {
+	p := pastRank{first: make([]int16, RankBuckets)}
+	for _, g := range s.Groups {
+		p.groups = append(p.groups, g.ID)
+	}
+	for b, row := range s.ranks {
+		p.first[b] = row[0]
+	}
+	return p
+}
+
+func sameGroups(a, b []*Group) bool {
+	return slices.EqualFunc(a, b, func(x, y *Group) bool { return x.ID == y.ID && x.Weight == y.Weight })
 }
 
 // formGroups divides the hosts of one service into groups, each within one
@@ -269,7 +357,7 @@
 	scores := [RankDepth]float64{math.Inf(-1), math.Inf(-1), math.Inf(-1)}
 	for i, g := range groups {
 		score := rank.Score(seedGroupRank, bucket, groupNode(g.ID), g.Weight)
-		at, idx := score, int32(i)
+		at, idx := score, int16(i)
 		for r := range row {
 			if at > scores[r] {
 				scores[r], at = at, scores[r]
--- a/core/snapshot/types.go
+++ b/core/snapshot/types.go
@@ -157,6 +157,7 @@
 	Kinds  []*Kind
 	Groups []*Group // sorted by domain, then index
 	ranks  []rankRow
+	past   []pastRank // latest first
 }
 
 // Kind returns the kind with the given number, or nil.
@@ -179,3 +180,10 @@
 	// From is the service that the endpoint last led to before it moved.
 	From ServiceID
 }
+
+// Move is a change of the service that an endpoint leads to.
+type Move struct {
+	Endpoint Endpoint
+	From, To ServiceID
+	Version  Version // in which it changed
+}
