Claim groups at boot once, and merge the flows of a claim that lost

Cause: instances that start together become ready before they have heard that their peers are ready, so each ranked itself alone and claimed the same groups. The one that heard of the other's claim first withdrew its own without the other ever hearing it; its flows were then unknown to the owner, and their next packets went to the default host, which reset them (make demo: 5 feeds broken within 130 ms of the start, resets by register2 and register4).

Ruled out: the silent-flow check; no reset came from an instance.

Change: a group that nobody has claimed yet is claimed one and a half heartbeat intervals after the instance became ready; an instance that gives up a claim announces it as lost, and the owner pulls and merges its entries; /readyz waits until each group of the domain has an owner. The heartbeat's lost claims and moved endpoints, the marks of entries and the next instance of a relay header are now encoded; they were added to the messages but not to the wire. A test checks that the round-trip samples set every field.

--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -72,6 +72,7 @@
 	out = e.tables(now, v, out)
 	out = e.sendStrays(now, v, out)
 	out = e.copies(now, v, out)
+	e.tracker.Lost(e.lostClaims())
 	out = e.heartbeats(now, out)
 	return e.fetch(now, v, out)
 }
@@ -84,6 +85,20 @@
 	return out
 }
 
+// lostClaims lists the claims that ended because another one held, while this
+// instance keeps the flows placed under them.
+func (e *Engine) lostClaims() []message.Claim {
+	var out []message.Claim
+	for _, l := range e.order {
+		l.mu.Lock()
+		if l.role == roleHandedOver && l.lost != 0 {
+			out = append(out, message.Claim{Group: l.id, Epoch: l.lost})
+		}
+		l.mu.Unlock()
+	}
+	return out
+}
+
 // fetch asks a peer for a newer snapshot when the platform has not delivered it.
 func (e *Engine) fetch(now time.Duration, v *member.View, out []Output) []Output {
 	from := e.tracker.Newest(v.Snapshot.Version)
--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"egrettack.example/core/group"
@@ -54,6 +55,7 @@
 		l.mu.Lock()
 		switch l.role {
 		case roleOwner:
+			l.lost = l.table.Epoch()
 			l.handOver(now, o.Claimant, true)
 			e.tracker.Unclaim(l.id)
 			changed = true
@@ -73,7 +75,7 @@
 // rivals notes peers whose claim does not hold against one of this instance's:
 // they hold flows that they placed meanwhile.
 func (e *Engine) rivals(now time.Duration, h *message.Heartbeat) {
-	for _, c := range h.Claims {
+	for _, c := range slices.Concat(h.Claims, h.Lost) {
 		l := e.local(c.Group)
 		if l == nil {
 			continue
@@ -81,7 +83,7 @@
 		l.mu.Lock()
 		if l.role == roleOwner && member.Holds(l.table.Epoch(), e.cfg.Self, c.Epoch, h.From) {
 			l.previous, l.keep = h.From, now+handedOverKeep
-			if l.pull.source != h.From {
+			if l.pull.source != h.From && l.merged[h.From] != c.Epoch {
 				l.pull = pull{source: h.From, merge: true, retry: now + pullRetry}
 			}
 		}
@@ -119,6 +121,8 @@
 		source = o.Previous
 	}
 	switch {
+	case source == 0 && o.MaxEpoch == 0 && e.tracker.Settling(now):
+		// Another instance may be about to claim it too.
 	case source != 0 && source != e.cfg.Self:
 		if l.role != rolePulling || l.pull.source != source {
 			l.role = rolePulling
@@ -247,6 +251,7 @@
 	l.table.Import(now, reply.Entries)
 	l.pull.cursor = reply.Next
 	if reply.Done {
+		l.merged[l.pull.source] = reply.Epoch
 		l.pull = pull{}
 	}
 }
--- a/core/engine/local.go
+++ b/core/engine/local.go
@@ -39,10 +39,14 @@
 	// keep is until when a handed-over table is kept, or until when the
 	// previous owner is asked.
 	keep time.Duration
+	// lost is the epoch of a claim that ended because another one held, or 0.
+	lost uint64
 	// previous is asked for entries that the owner lacks.
 	previous snapshot.InstanceID
 	pull     pull
-	strays   strays
+	// merged tells which epoch of a rival's claim has been merged.
+	merged map[snapshot.InstanceID]uint64
+	strays strays
 
 	copies     *group.Copies
 	copied     int // entries received as copies in this epoch
@@ -68,7 +72,11 @@
 	if l := e.local(id); l != nil {
 		return l
 	}
-	l := &local{id: id, hadForeign: make(map[snapshot.InstanceID]bool)}
+	l := &local{
+		id:         id,
+		merged:     make(map[snapshot.InstanceID]uint64),
+		hadForeign: make(map[snapshot.InstanceID]bool),
+	}
 	e.order = append(e.order, l)
 	e.index()
 	return l
@@ -130,11 +138,12 @@
 // own makes this instance the owner of a group. The caller holds l.mu.
 func (l *local) own(now time.Duration, t *group.Table, previous snapshot.InstanceID) {
 	l.role, l.table, l.previous = roleOwner, t, previous
-	l.next, l.settled, l.keep = 0, false, now+handedOverKeep
+	l.next, l.settled, l.keep, l.lost = 0, false, now+handedOverKeep, 0
 	l.pull = pull{}
 	l.backup = 0
 	l.copies, l.copied = nil, 0
 	clear(l.hadForeign)
+	clear(l.merged)
 }
 
 // handOver ends this instance's claim. The caller holds l.mu.
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -20,8 +20,11 @@
 	State   message.State
 	Stale   bool
 	Version snapshot.Version
-	Peers   []PeerStatus
-	Groups  []GroupStatus
+	// Unclaimed counts the groups of this instance's domain that no instance
+	// is known to place flows of.
+	Unclaimed int
+	Peers     []PeerStatus
+	Groups    []GroupStatus
 }
 
 // PeerStatus is one peer as this instance sees it.
@@ -51,6 +54,11 @@
 		return st
 	}
 	st.Stale, st.Version = e.stale(now, v), v.Snapshot.Version
+	for id, o := range v.Owners {
+		if id.Domain == e.cfg.Domain && o.Claimant == 0 {
+			st.Unclaimed++
+		}
+	}
 	for id, p := range v.Peers {
 		st.Peers = append(st.Peers, PeerStatus{
 			Instance: id, State: p.State, Version: e.tracker.Version(id), Heard: e.tracker.Heard(now, id),
--- a/core/member/heartbeat.go
+++ b/core/member/heartbeat.go
@@ -30,7 +30,7 @@
 
 // Size is the estimated size of a heartbeat on the wire in bytes.
 func Size(h *message.Heartbeat) int {
-	return HeartbeatBytes + claimBytes*len(h.Claims) + countBytes*len(h.Foreign) + unrankedBytes*len(h.Unranked) + moveBytes*len(h.Moved)
+	return HeartbeatBytes + claimBytes*(len(h.Claims)+len(h.Lost)) + countBytes*len(h.Foreign) + unrankedBytes*len(h.Unranked) + moveBytes*len(h.Moved)
 }
 
 // Due returns a heartbeat and its recipients when one is due, else nil. The
@@ -71,7 +71,7 @@
 func (t *Tracker) heartbeat() *message.Heartbeat {
 	h := &message.Heartbeat{
 		From: t.cfg.Self, Boot: t.cfg.Boot, State: t.state, Version: t.snap.Version,
-		Foreign: t.foreign, Moved: t.latestMoves(),
+		Foreign: t.foreign, Lost: t.lost, Moved: t.latestMoves(),
 	}
 	for g, epoch := range t.own {
 		h.Claims = append(h.Claims, message.Claim{Group: g, Epoch: epoch})
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -47,6 +47,9 @@
 	staleIntervals = 3
 	// urgentGap is the least time between a heartbeat and an unscheduled one.
 	urgentGap = 100 * time.Millisecond
+	// claimDelay is the time from becoming ready to the first claim of a group
+	// that nobody claims: one heartbeat interval and half of it for delay.
+	claimDelay = BaseInterval * 3 / 2
 	// freshLimit bounds how long a joining instance waits for a snapshot that
 	// a peer announces, since the peer may go before it can be fetched.
 	freshLimit = 10 * time.Second
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -56,6 +56,8 @@
 	claims   map[snapshot.GroupID]*claim
 	own      map[snapshot.GroupID]uint64
 	foreign  []message.HostCount
+	lost     []message.Claim
+	ready    time.Duration // when the state became Ready
 
 	lastTick  time.Duration
 	stale     bool
@@ -248,6 +250,7 @@
 		t.dirty = true
 	}
 	if t.state == message.Joining && !t.stale && t.joined(now) {
+		t.ready = now
 		t.setState(message.Ready)
 	}
 }
@@ -403,6 +406,19 @@
 	c.max = max(c.max, epoch)
 }
 
+// Lost sets the claims that have ended because another one held.
+func (t *Tracker) Lost(claims []message.Claim) {
+	if len(claims) != len(t.lost) {
+		t.sender.urgent = true
+	}
+	t.lost = claims
+}
+
+// Settling reports whether this instance has become ready so recently that its
+// peers may not know yet. Two instances that start together would otherwise
+// both claim groups that nobody claims, each ranking itself alone.
+func (t *Tracker) Settling(now time.Duration) bool { return now-t.ready < claimDelay }
+
 // Foreign sets the counts that heartbeats carry.
 func (t *Tracker) Foreign(counts []message.HostCount) { t.foreign = counts }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -57,6 +57,9 @@
 	State   State
 	Version snapshot.Version // in force at the sender
 	Claims  []Claim
+	// Lost lists claims that the sender has ended a moment ago because another
+	// one held against them. The flows placed under them are still with the sender.
+	Lost []Claim
 	// Foreign lists flows that the sender holds on hosts of groups that it
 	// does not own, so that the owners can count them.
 	Foreign []HostCount
--- a/node/backend.go
+++ b/node/backend.go
@@ -34,6 +34,8 @@
 		return trace.CompareFailed("state is %s", s.State)
 	case s.Stale:
 		return trace.CompareFailed("views are not fresh")
+	case s.Unclaimed > 0:
+		return trace.CompareFailed("%d host groups of this domain have no owner", s.Unclaimed)
 	}
 	return nil
 }
--- a/wire/control/body.go
+++ b/wire/control/body.go
@@ -32,6 +32,17 @@
 
 	EveryMillis uint64   `cbor:"15,keyasint,omitempty"`
 	Unranked    []uint32 `cbor:"16,keyasint,omitempty"`
+	Lost        []claim  `cbor:"17,keyasint,omitempty"`
+	Moved       []move   `cbor:"18,keyasint,omitempty"`
+}
+
+type move struct {
+	_        struct{} `cbor:",toarray"`
+	Addr     uint32
+	Port     uint16
+	Proto    uint8
+	From, To uint32
+	Version  uint64
 }
 
 type groupID struct {
@@ -57,13 +68,13 @@
 }
 
 type entry struct {
-	_           struct{} `cbor:",toarray"`
-	Key         []byte
-	Host        uint32
-	Kind        uint8
-	ISN         uint32
-	Established bool
-	AgeMillis   uint64
+	_         struct{} `cbor:",toarray"`
+	Key       []byte
+	Host      uint32
+	Kind      uint8
+	ISN       uint32
+	Marks     uint8 // established, closing, ended
+	AgeMillis uint64
 }
 
 // keyLen is the length of an encoded flow key: addresses, ports, protocol.
@@ -85,9 +96,8 @@
 		h := m.Heartbeat
 		b.From, b.Boot, b.Seq = uint32(h.From), h.Boot, h.Seq
 		b.State, b.Version = uint8(h.State), uint64(h.Version)
-		b.Claims = convert(h.Claims, func(c message.Claim) claim {
-			return claim{Service: uint32(c.Group.Service), Domain: uint16(c.Group.Domain), Index: c.Group.Index, Epoch: c.Epoch}
-		})
+		b.Claims, b.Lost = convert(h.Claims, claimTo), convert(h.Lost, claimTo)
+		b.Moved = convert(h.Moved, moveTo)
 		b.Foreign = convert(h.Foreign, func(c message.HostCount) count {
 			return count{Host: uint32(c.Host), Connections: c.Connections, Slots: c.Slots}
 		})
@@ -159,9 +169,8 @@
 	m.Heartbeat = &message.Heartbeat{
 		From: m.From, Boot: m.Boot, Seq: m.Seq,
 		State: message.State(b.State), Version: snapshot.Version(b.Version),
-		Claims: convert(b.Claims, func(c claim) message.Claim {
-			return message.Claim{Group: groupFrom(groupID{Service: c.Service, Domain: c.Domain, Index: c.Index}), Epoch: c.Epoch}
-		}),
+		Claims: convert(b.Claims, claimFrom), Lost: convert(b.Lost, claimFrom),
+		Moved: convert(b.Moved, moveFrom),
 		Foreign: convert(b.Foreign, func(c count) message.HostCount {
 			return message.HostCount{Host: snapshot.HostID(c.Host), Connections: c.Connections, Slots: c.Slots}
 		}),
@@ -171,6 +180,28 @@
 	return nil
 }
 
+func claimTo(c message.Claim) claim {
+	return claim{Service: uint32(c.Group.Service), Domain: uint16(c.Group.Domain), Index: c.Group.Index, Epoch: c.Epoch}
+}
+
+func claimFrom(c claim) message.Claim {
+	return message.Claim{Group: groupFrom(groupID{Service: c.Service, Domain: c.Domain, Index: c.Index}), Epoch: c.Epoch}
+}
+
+func moveTo(m snapshot.Move) move {
+	return move{
+		Addr: uint32(m.Endpoint.Addr), Port: m.Endpoint.Port, Proto: uint8(m.Endpoint.Proto),
+		From: uint32(m.From), To: uint32(m.To), Version: uint64(m.Version),
+	}
+}
+
+func moveFrom(m move) snapshot.Move {
+	return snapshot.Move{
+		Endpoint: snapshot.Endpoint{Addr: flow.Addr(m.Addr), Port: m.Port, Proto: flow.Proto(m.Proto)},
+		From:     snapshot.ServiceID(m.From), To: snapshot.ServiceID(m.To), Version: snapshot.Version(m.Version),
+	}
+}
+
 func groupTo(g snapshot.GroupID) *groupID {
 	return &groupID{Service: uint32(g.Service), Domain: uint16(g.Domain), Index: g.Index}
 }
@@ -182,8 +213,29 @@
 func entryTo(e message.Entry) entry {
 	return entry{
 		Key: keyTo(e.Key), Host: uint32(e.Host), Kind: uint8(e.Kind), ISN: e.ISN,
-		Established: e.Established, AgeMillis: uint64(max(e.Age, 0) / time.Millisecond),
+		Marks: marksTo(e), AgeMillis: uint64(max(e.Age, 0) / time.Millisecond),
+	}
+}
+
+// Marks of an entry.
+const (
+	markEstablished = 1 << iota
+	markClosing
+	markEnded
+)
+
+func marksTo(e message.Entry) uint8 {
+	var m uint8
+	if e.Established {
+		m |= markEstablished
+	}
+	if e.Closing {
+		m |= markClosing
+	}
+	if e.Ended {
+		m |= markEnded
 	}
+	return m
 }
 
 func entriesFrom(list []entry) ([]message.Entry, error) {
@@ -201,7 +253,8 @@
 		}
 		out[i] = message.Entry{
 			Key: k, Host: snapshot.HostID(e.Host), Kind: snapshot.KindID(e.Kind), ISN: e.ISN,
-			Established: e.Established, Age: time.Duration(e.AgeMillis) * time.Millisecond,
+			Established: e.Marks&markEstablished != 0, Closing: e.Marks&markClosing != 0, Ended: e.Marks&markEnded != 0,
+			Age: time.Duration(e.AgeMillis) * time.Millisecond,
 		}
 	}
 	return out, nil
--- a/wire/control/control_test.go
+++ b/wire/control/control_test.go
@@ -27,9 +27,9 @@
 
 var (
 	groupA = snapshot.GroupID{Service: 7, Domain: 2, Index: 3}
-	groupB = snapshot.GroupID{Service: 7, Domain: 1, Index: 0}
+	groupB = snapshot.GroupID{Service: 7, Domain: 1, Index: 1}
 	someID = flow.Key{Src: 0xC0000201, Dst: 0x0A090001, SrcPort: 40000, DstPort: 7002, Proto: flow.TCP}
-	held   = message.Entry{Key: someID, Host: 3500, Kind: 2, ISN: 1 << 31, Established: true, Age: 3 * time.Hour}
+	held   = message.Entry{Key: someID, Host: 3500, Kind: 2, ISN: 1 << 31, Established: true, Closing: true, Ended: true, Age: 3 * time.Hour}
 )
 
 func samples() []*Message {
@@ -39,6 +39,10 @@
 			Claims:  []message.Claim{{Group: groupA, Epoch: 5}, {Group: groupB, Epoch: 1}},
 			Foreign: []message.HostCount{{Host: 3, Connections: 20, Slots: 2}},
 			Every:   1200 * time.Millisecond, Unranked: []snapshot.InstanceID{5, 420},
+			Lost: []message.Claim{{Group: groupA, Epoch: 4}},
+			Moved: []snapshot.Move{{
+				Endpoint: snapshot.Endpoint{Addr: 0x0A090001, Port: 7002, Proto: flow.TCP}, From: 7, To: 8, Version: 1 << 40,
+			}},
 		}},
 		{From: 4, Boot: 1 << 60, Seq: 10, Learn: &message.Learn{From: 4, Group: groupA, Entry: held, HeldBy: groupB}},
 		{From: 4, Boot: 1 << 60, Seq: 11, Copies: &message.CopyBatch{
@@ -69,6 +73,39 @@
 	}
 }
 
+// Guards against a field that is added to a message and not to its encoding:
+// the samples of the round trip must set every field.
+func TestSamplesSetEveryField(t *testing.T) {
+	var check func(path string, v reflect.Value)
+	check = func(path string, v reflect.Value) {
+		switch v.Kind() {
+		case reflect.Pointer:
+			check(path, v.Elem())
+		case reflect.Slice:
+			if v.Len() == 0 {
+				t.Errorf("%s is empty", path)
+				return
+			}
+			check(path, v.Index(0))
+		case reflect.Struct:
+			for i := range v.NumField() {
+				check(path+"."+v.Type().Field(i).Name, v.Field(i))
+			}
+		default:
+			if v.IsZero() {
+				t.Errorf("%s is zero", path)
+			}
+		}
+	}
+	for _, m := range samples() {
+		for _, body := range []any{m.Heartbeat, m.Learn, m.Copies, m.CopyAck} {
+			if v := reflect.ValueOf(body); !v.IsNil() {
+				check(v.Type().Elem().Name(), v)
+			}
+		}
+	}
+}
+
 // Guards against accepting what no holder of a listed key sent to this instance.
 func TestReadRejects(t *testing.T) {
 	c := codec(t, key(1), key(2))
--- a/wire/geneve/geneve.go
+++ b/wire/geneve/geneve.go
@@ -19,7 +19,7 @@
 	MaxHeaderLen = HeaderLen + optionHeaderLen + relayLen + traceLen + tracePadding
 
 	optionHeaderLen = 4
-	relayLen        = 28
+	relayLen        = 32
 	traceLen        = 25 // trace ID, span ID, flags
 	// The option length counts words of 4 bytes.
 	tracePadding = 3
@@ -132,6 +132,7 @@
 		Service: snapshot.ServiceID(binary.BigEndian.Uint32(b[4:])),
 		Version: snapshot.Version(binary.BigEndian.Uint64(b[8:])),
 		Asker:   snapshot.InstanceID(binary.BigEndian.Uint32(b[16:])),
+		Next:    snapshot.InstanceID(binary.BigEndian.Uint32(b[28:])),
 	}
 	if b[1]&traceFlag == 0 {
 		return nil
@@ -185,6 +186,7 @@
 	binary.BigEndian.PutUint32(b[20:], uint32(r.Group.Service))
 	binary.BigEndian.PutUint16(b[24:], uint16(r.Group.Domain))
 	binary.BigEndian.PutUint16(b[26:], 0)
+	binary.BigEndian.PutUint32(b[28:], uint32(r.Next))
 	if !h.Traced {
 		return
 	}
