Hand redirects over with a group and prefer the present service's entries

Cause: a new owner did not know the flows that its predecessor had spilled, and a SYN entry left in the old service of a moved address took the flow's packets. Change: the last page of a pull carries redirects (group.Table.Redirects); lookups go through the present service first.

--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -13,6 +13,9 @@
 const (
 	// pullPage is the number of entries in one page of a pull.
 	pullPage = 2000
+	// maxRedirects bounds the redirects on the last page of a pull. Those
+	// beyond it are learned again from the groups that hold the flows.
+	maxRedirects = 10000
 	// pullRetry is the time before a failed pull is tried again.
 	pullRetry = 200 * time.Millisecond
 	// pullTimeout frees a pull whose answer never came.
@@ -202,6 +205,9 @@
 		return message.PullReply{}, fmt.Errorf("pull group %s for instance %d: the role here is %s", r.Group, r.From, l.role)
 	}
 	reply := l.table.Pull(now, r.Cursor, pullPage)
+	if reply.Done {
+		reply.Redirects = l.table.Redirects(now, maxRedirects)
+	}
 	if reply.Done && l.role == roleOwner {
 		l.handOver(now, r.From, false)
 		e.tracker.Unclaim(l.id)
@@ -276,6 +282,9 @@
 	if l.table != nil {
 		absorb(now, t, l.table)
 	}
+	for i := range reply.Redirects {
+		t.Learn(now, &reply.Redirects[i])
+	}
 	e.activate(now, l, t, p.source)
 }
 
--- a/core/engine/lookup.go
+++ b/core/engine/lookup.go
@@ -72,11 +72,25 @@
 	return e.relay(w, w.own, group.AskHolder, to), true
 }
 
-// heldHere looks for the flow in all groups of its service here, and of the
-// service that the address has moved from.
+// heldHere looks for the flow in all groups of its service here, then in those
+// of the service that the address has moved from. The present service goes
+// first: a SYN that went by the version before may have left an entry in the
+// old one, while its retransmission opened the flow in the present one.
 func (e *Engine) heldHere(w *work) (Action, bool) {
+	if a, ok := e.heldIn(w, w.bind.Service.ID); ok {
+		return a, true
+	}
+	// A question without an asker is about a group that cannot be reached,
+	// and that may hold the flow by now.
+	if w.bind.Moved == 0 || w.bind.From == w.bind.Service.ID || w.asker == 0 {
+		return Action{}, false
+	}
+	return e.heldIn(w, w.bind.From)
+}
+
+func (e *Engine) heldIn(w *work, id snapshot.ServiceID) (Action, bool) {
 	for _, l := range e.groups.Load().list {
-		if s := l.id.Service; s != w.bind.Service.ID && (w.bind.Moved == 0 || s != w.bind.From) {
+		if l.id.Service != id {
 			continue
 		}
 		if a, ok := e.held(w, l.id); ok {
--- a/core/group/walk.go
+++ b/core/group/walk.go
@@ -19,3 +19,16 @@
 		}
 	})
 }
+
+// Redirects returns up to n flows that the table knows to be held by other
+// groups, as learn messages for the next owner.
+func (t *Table) Redirects(now time.Duration, n int) []message.Learn {
+	var out []message.Learn
+	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) {
+		if len(out) < n && e.Has(table.Redirected) && e.State() < table.Closing {
+			id := t.cfg.Group.ID
+			out = append(out, message.Learn{Group: id, Entry: t.export(now, e), HeldBy: e.Redirect(id.Service)})
+		}
+	})
+	return out
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -141,7 +141,9 @@
 	Epoch   uint64
 	Base    []snapshot.HostID
 	Entries []Entry
-	Next    uint64
+	// Redirects are flows that other groups hold, on the last page.
+	Redirects []Learn
+	Next      uint64
 	// Done is true on the last page. From then on the replying instance no
 	// longer places flows of the group.
 	Done bool
