Count only established entries for a flow that may be elsewhere

Cause: an entry of a SYN that went to the old service of a moved address took the packets of the flow that its retransmission had opened in the new one. Change: group.Request.Established; set for the old service and while stale.

--- a/core/engine/packet.go
+++ b/core/engine/packet.go
@@ -193,7 +193,7 @@
 		d = l.table.Packet(w.now, &req)
 	case (role == roleOwner || role == roleHandedOver && !settled) && !w.opens():
 		// Forwarding along an entry decides nothing, since its host never changes.
-		req.Ask = group.AskHolder
+		req.Ask, req.Established = group.AskHolder, w.stale
 		d = l.table.Packet(w.now, &req)
 	default:
 		d = group.Decision{Verdict: group.Miss}
@@ -219,7 +219,10 @@
 }
 
 func (e *Engine) request(w *work, id snapshot.GroupID, ask group.Ask) group.Request {
-	req := group.Request{Packet: w.p, Kind: w.bind.Kind.ID, Ask: ask, NoDefault: w.bind.Moved != 0}
+	req := group.Request{
+		Packet: w.p, Kind: w.bind.Kind.ID, Ask: ask, NoDefault: w.bind.Moved != 0,
+		Established: ask == group.AskHolder && (w.stale || id.Service != w.bind.Service.ID),
+	}
 	if ask == group.AskOwner {
 		req.SpillTo = w.other(id)
 	}
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -35,6 +35,10 @@
 	// NoDefault forbids the default host, for an address that has moved
 	// between services.
 	NoDefault bool
+	// Established makes an AskHolder count only entries whose caller has
+	// acknowledged the host's SYN. A younger one may have been left behind by
+	// a SYN whose retransmission opened the flow elsewhere.
+	Established bool
 }
 
 // Verdict is what happens to a packet.
--- a/core/group/packet.go
+++ b/core/group/packet.go
@@ -13,6 +13,9 @@
 func (t *Table) Packet(now time.Duration, r *Request) Decision {
 	p := r.Packet
 	if e := t.flows.Find(p.Key); e != nil {
+		if r.Established && e.State() == table.SynSeen {
+			return Decision{Verdict: Miss}
+		}
 		if !p.Opens() || p.Seq == e.ISN || !t.reusable(now, e) {
 			return t.known(now, e, r)
 		}
