--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -69,7 +69,8 @@
 }
 
 // New builds a snapshot. previous may be nil; it tells which endpoints have
-// moved from one service to another and how flows were ranked before.
+// moved from one service to another and how flows were ranked before; services
+// with the same groups take over its ranking.
 func New(in Input, previous *Snapshot) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:   in.Version,
@@ -340,7 +341,6 @@
 	}
 	return slices.DeleteFunc(groups, func(g *Group) bool { return len(g.Hosts) == 0 })
 }
-
 func rankGroups(groups []*Group) []rankRow {
 	if len(groups) == 0 {
 		return nil
--- a/settings/tree/inherit.go
+++ b/settings/tree/inherit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 
 	"egrettack.example/settings/document"
 )
@@ -15,6 +16,8 @@
 	// distance is the number of levels between the node that uses the value
 	// and the one that gives it; a default is farthest.
 	distance int
+	// wrong is set when the nearest value given has an error of its own.
+	wrong bool
 }
 
 func (o Origin) String() string {
@@ -24,19 +27,21 @@
 	return fmt.Sprintf("%s:%d", o.File, o.Line)
 }
 
+// Wrong reports whether any of the fields has an error of its own, so that
+// checks of it against other fields would mislead.
+func (o Origins) Wrong(fields ...string) bool {
+	return slices.ContainsFunc(fields, func(f string) bool { return o[f].wrong })
+}
+
 // Origins maps the name of a field to its origin.
 type Origins map[string]Origin
 
-// EffectiveWork resolves the work settings of a node.
-func (n *Node) EffectiveWork() (Work, Origins) {
-	return resolve(n, "work", func(n *Node) *Work { return &n.Work })
-}
+// EffectiveWork returns the work settings in force at a node.
+func (n *Node) EffectiveWork() (Work, Origins) { return n.work, n.workOrigins }
 
-// EffectiveHost resolves the host settings of a node. Capacity stays nil when
-// nothing gives it, which stands for the number of slots.
-func (n *Node) EffectiveHost() (Host, Origins) {
-	return resolve(n, "host", func(n *Node) *Host { return &n.Host })
-}
+// EffectiveHost returns the host settings in force at a node. Capacity is nil
+// when nothing gives it, which stands for the number of slots.
+func (n *Node) EffectiveHost() (Host, Origins) { return n.host, n.hostOrigins }
 
 // resolve takes each field from the nearest node, beginning with n itself,
 // that gives it, else from its default tag.
@@ -48,11 +53,12 @@
 		target := v.FieldByIndex(f.Index)
 		distance := 0
 		for at := n; at != nil; at = at.Parent {
-			if given := reflect.ValueOf(of(at)).Elem().FieldByIndex(f.Index); !given.IsNil() {
+			given := reflect.ValueOf(of(at)).Elem().FieldByIndex(f.Index)
+			if path := section + "." + f.Name; !given.IsNil() || at.Doc.Has(path) {
 				target.Set(given)
 				origins[f.Name] = Origin{
-					File: at.Doc.File, Line: at.Doc.Line(section + "." + f.Name),
-					Path: at.Path, distance: distance,
+					File: at.Doc.File, Line: at.Doc.Line(path),
+					Path: at.Path, distance: distance, wrong: given.IsNil(),
 				}
 				break
 			}
@@ -63,7 +69,9 @@
 				target.Set(reflect.New(target.Type().Elem()))
 				document.SetDefault(target.Elem(), text)
 			}
-			origins[f.Name] = Origin{distance: distance}
+			if !origins[f.Name].wrong {
+				origins[f.Name] = Origin{distance: distance}
+			}
 		}
 	}
 	return out, origins
--- a/testkit/layout/layout.go
+++ b/testkit/layout/layout.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -18,14 +17,17 @@
 
 // Spec says what to generate.
 type Spec struct {
-	Tree        string // directory
-	Out         string // directory
-	BasePort    int    // 0 to look for a free block
-	Domains     []string
-	Instances   int
-	Spare       int            // instances that are not published at first
-	Hosts       map[string]int // by service path
-	SpareHosts  map[string]int
+	Tree       string // directory
+	Out        string // directory
+	BasePort   int    // 0 to look for a free block
+	Domains    []string
+	Instances  int
+	Spare      int            // instances that are not published at first
+	Hosts      map[string]int // by service path
+	SpareHosts map[string]int
+	// Extra names kinds that callers and hosts know but the tree does not, each
+	// with the kind whose address it takes over later.
+	Extra       map[string]string
 	Links       bool // lead traffic between domains and to the platform over links
 	StopTimeout string
 	LogLevel    string
@@ -64,6 +66,9 @@
 	if w.Kinds, err = t.kinds(); err != nil {
 		return nil, err
 	}
+	if err := b.extra(); err != nil {
+		return nil, err
+	}
 	if err := b.hosts(); err != nil {
 		return nil, err
 	}
@@ -81,6 +86,19 @@
 
 func (b *builder) url() string { return "http://" + b.port().String() }
 
+func (b *builder) extra() error {
+	for path, as := range b.spec.Extra {
+		k, err := b.world.Kind(as)
+		if err != nil {
+			return err
+		}
+		k.Path, k.Service, k.Name = path, filepath.Dir(path), filepath.Base(path)
+		k.Number = b.tree.nodes[k.Service].Number
+		b.world.Kinds = append(b.world.Kinds, k)
+	}
+	return nil
+}
+
 func (b *builder) hosts() error {
 	root := b.tree.nodes["root"].Host
 	for _, path := range b.tree.paths("service") {
@@ -137,9 +155,10 @@
 	add := func(from, to, network string, target netip.AddrPort) {
 		w.Links = append(w.Links, world.Link{From: from, To: to, Net: network, Listen: b.port(), Target: target})
 	}
-	api := netip.MustParseAddrPort(strings.TrimPrefix(w.Platform, "http://"))
 	for _, from := range w.Domains {
-		add(from, world.Platform, "tcp", api)
+		view := world.View{Domain: from, Listen: b.port()}
+		w.Views = append(w.Views, view)
+		add(from, world.Platform, "tcp", view.Listen)
 		for _, i := range w.Instances {
 			if i.Domain != from {
 				add(from, i.Domain, "udp", i.Data)
@@ -150,6 +169,7 @@
 		for _, h := range w.Hosts {
 			if h.Domain != from {
 				add(from, h.Domain, "udp", h.Tunnel)
+				add(from, h.Domain, "tcp", h.Health)
 			}
 		}
 	}
