Tell a wrong key from an instance that is not reachable

Cause: egrettackctl ended with exit code 3 for a wrong key, and status counted groups that are pulled or handed over as owned. check passed over x.json silently, so that a node with a mistyped extension was missed.

Change: rpc.ErrKey marks calls whose key the peer does not share, which end with exit code 1; status counts groups by role; .json and .hujson files in a tree are errors. A call on a kept connection is repeated once on any connection error and not only on a closed one.

--- a/cmd/egrettackctl/app_test.go
+++ b/cmd/egrettackctl/app_test.go
@@ -139,7 +139,7 @@
 		{ask + "flow tcp/10.1.2.3:40000-10.9.0.1:7002", 0, []string{"host r1 for tcp/10.1.2.3:40000-10.9.0.1:7002"}},
 		{ask + "flow 10.1.2.3", 2, []string{`"10.1.2.3" is not a 5-tuple`}},
 		{"--instance 127.0.0.1:1 --key 1:" + secret + " status", 3, []string{"not reachable"}},
-		{"--instance " + addr + " --key 2:" + secret + " status", 3, []string{"not reachable"}},
+		{"--instance " + addr + " --key 2:" + secret + " status", 1, []string{"wrong key: the peer did not accept key 2"}},
 		{"--instance " + addr + " status", 2, []string{"--key-file or --key is needed"}},
 		{"--instance " + addr + " --key 1:12 status", 2, []string{"a secret has 64 hex digits"}},
 		{"status", 2, []string{"--instance is needed"}},
--- a/cmd/egrettackctl/instances.go
+++ b/cmd/egrettackctl/instances.go
@@ -73,13 +73,14 @@
 		r.Peers[p.State.String()]++
 	}
 	for _, g := range s.Groups {
-		if g.Role == "backup" {
+		switch g.Role {
+		case "backup":
 			r.Backup++
-			continue
+		case "owner":
+			r.Owned++
+			r.Flows += g.Stats.Flows
+			r.Backlog += g.Stats.Backlog
 		}
-		r.Owned++
-		r.Flows += g.Stats.Flows
-		r.Backlog += g.Stats.Backlog
 	}
 }
 
--- a/node/rpc/auth.go
+++ b/node/rpc/auth.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +35,9 @@
 	handshakeTime = 3 * time.Second
 )
 
+// ErrKey is the cause of errors of calls whose key the peer does not share.
+var ErrKey = errors.New("wrong key")
+
 // session holds the keys of the two directions of one connection.
 type session struct{ toServer, toClient []byte }
 
@@ -101,10 +105,13 @@
 	}
 	code := make([]byte, macLen)
 	if _, err := io.ReadFull(conn, code); err != nil {
-		return session{}, fmt.Errorf("key %d was not accepted: %w", key.ID, err)
+		if errors.Is(err, io.EOF) {
+			return session{}, fmt.Errorf("%w: the peer did not accept key %d", ErrKey, key.ID)
+		}
+		return session{}, fmt.Errorf("reading the proof: %w", err)
 	}
 	if subtle.ConstantTimeCompare(code, mac(secret, "egrettack rpc server", nonce, ours)) != 1 {
-		return session{}, fmt.Errorf("the peer does not have key %d", key.ID)
+		return session{}, fmt.Errorf("%w: the peer does not have key %d", ErrKey, key.ID)
 	}
 	return newSession(secret, nonce, ours), conn.SetDeadline(time.Time{})
 }
--- a/node/rpc/client.go
+++ b/node/rpc/client.go
@@ -85,7 +85,8 @@
 	if err == nil {
 		err = conn.Call(ctx, method, params, result)
 	}
-	if reused && errors.Is(err, jsonrpc2.ErrClosed) {
+	var answered *jsonrpc2.Error
+	if reused && err != nil && !errors.As(err, &answered) && ctx.Err() == nil {
 		// The peer closed an idle connection. All calls can be repeated.
 		c.drop(addr, conn)
 		if conn, _, err = c.connect(ctx, addr); err == nil {
@@ -95,8 +96,7 @@
 	if err == nil {
 		return nil
 	}
-	var answered *jsonrpc2.Error
-	if errors.As(err, &answered) {
+	if errors.As(err, &answered) || errors.Is(err, ErrKey) {
 		return trace.Wrap(err, "%s at %s", method, addr)
 	}
 	// A call that got no answer may leave its reply on the way, so the
--- a/node/rpc/rpc_test.go
+++ b/node/rpc/rpc_test.go
@@ -109,7 +109,7 @@
 func TestWrongKey(t *testing.T) {
 	addr := serve(t, &backend{})
 	for _, key := range []daemon.Key{{ID: 2, Secret: daemon.Secret{1}}, {ID: 3, Secret: daemon.Secret{2}}, {}} {
-		if _, err := client(t, key).Status(t.Context(), addr); !errors.Is(err, rpc.ErrUnreachable) {
+		if _, err := client(t, key).Status(t.Context(), addr); !errors.Is(err, rpc.ErrKey) || errors.Is(err, rpc.ErrUnreachable) {
 			t.Errorf("key %d gives %v", key.ID, err)
 		}
 	}
--- a/settings/published/bench_test.go
+++ b/settings/published/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -78,9 +79,18 @@
 	}
 }
 
+// heap returns the bytes in use.
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // BenchmarkApply measures what one change costs an instance: merging it,
 // checking everything and building the snapshot.
 func BenchmarkApply(b *testing.B) {
+	empty := heap()
 	held := large()
 	var cache published.Cache
 	s, err := cache.Build(held, nil)
@@ -101,6 +111,9 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(heap()-empty), "heap-bytes") // of values, cache and snapshot
+	runtime.KeepAlive(&cache)
+	runtime.KeepAlive(s)
 	b.ReportMetric(float64(len(wire)), "change-bytes")
 	b.ReportMetric(float64(len(full)), "full-bytes")
 }
--- a/settings/tree/directory.go
+++ b/settings/tree/directory.go
@@ -16,9 +16,11 @@
 
 // ReadDir reads the files of a tree: root.jsonc, west.jsonc,
 // west/register.jsonc, west/register/lookup.jsonc. Hidden files and
-// directories and files of other kinds are passed over.
-func ReadDir(dir string) ([]Source, error) {
+// directories and files of other kinds are passed over; JSON files with
+// another extension are problems, since a node would be missed silently.
+func ReadDir(dir string) ([]Source, document.Problems, error) {
 	var sources []Source
+	var problems document.Problems
 	err := filepath.WalkDir(dir, func(path string, e fs.DirEntry, err error) error {
 		if err != nil {
 			return err
@@ -29,36 +31,42 @@
 			}
 			return nil
 		}
-		if e.IsDir() || filepath.Ext(path) != Extension {
-			return nil
-		}
-		text, err := document.ReadFile(path)
+		rel, err := filepath.Rel(dir, path)
 		if err != nil {
 			return err
 		}
-		rel, err := filepath.Rel(dir, path)
+		rel = filepath.ToSlash(rel)
+		switch ext := filepath.Ext(path); {
+		case e.IsDir():
+			return nil
+		case ext == ".json" || ext == ".hujson":
+			problems = append(problems, document.Problem{File: rel, Line: 1, Text: "bad file name: the file of a node ends in " + Extension})
+			return nil
+		case ext != Extension:
+			return nil
+		}
+		text, err := document.ReadFile(path)
 		if err != nil {
 			return err
 		}
-		rel = filepath.ToSlash(rel)
 		sources = append(sources, Source{Path: strings.TrimSuffix(rel, Extension), File: rel, Text: string(text)})
 		return nil
 	})
-	if err == nil && len(sources) == 0 {
+	if err == nil && len(sources)+len(problems) == 0 {
 		err = trace.Wrap(os.ErrNotExist, "no %s files", Extension)
 	}
-	return sources, trace.Wrap(err, "reading the tree of settings in %s", dir)
+	return sources, problems, trace.Wrap(err, "reading the tree of settings in %s", dir)
 }
 
 // Load reads and checks the tree in a directory. The error holds a
 // document.Problems when the text is wrong.
 func Load(dir string) (*Tree, error) {
-	sources, err := ReadDir(dir)
+	sources, misnamed, err := ReadDir(dir)
 	if err != nil {
 		return nil, err
 	}
 	t, problems := Parse(sources)
-	if err := problems.Err(); err != nil {
+	if err := append(problems, misnamed...).Err(); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return t, nil
--- a/settings/tree/tree_test.go
+++ b/settings/tree/tree_test.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	os.WriteFile(filepath.Join(dir, "west", "intake.json"), []byte("{}"), 0o600)
+	if _, err := tree.Load(dir); err == nil || !strings.Contains(err.Error(), "west/intake.json:1: .: bad file name") {
+		t.Errorf("a JSON file with another extension gives %v", err)
+	}
 	if d := tree.Diff(parsed, loaded); len(d) > 0 {
 		t.Errorf("the directory differs from the same texts: %v", d)
 	}
