Start from a peer's values while a faulty publication stands

Change: values of a peer are taken when they are newer than those in force, though older than a refused publication. With nothing in force the client asks instances that the refused publication lists, by Config.Fetch.

Conclusion: a test starts a client against two faulty answers and a peer, and then the correction. The daemon has to set Config.Fetch and Domain.

--- a/node/platform/fetch.go
+++ b/node/platform/fetch.go
@@ -31,6 +31,9 @@
 	if started {
 		// The jitter keeps calls of instances that started together apart.
 		wait = c.cfg.Wait - rand.N(c.cfg.Wait/10+1)
+		if c.Snapshot() == nil {
+			wait = min(wait, retryPeers)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -48,6 +48,11 @@
 	Log        *slog.Logger  // slog.Default when nil
 	Wait       time.Duration // longest wait of one call, 55 s when zero
 	HTTP       *http.Client  // for tests; a client without proxy when nil
+	// Fetch asks a peer for values, as rpc.Client.SnapshotSince does. It is
+	// used when nothing is in force and the publication fails a check: the
+	// instances that it lists may have an earlier one in force. It may be nil.
+	Fetch  func(ctx context.Context, addr string, after snapshot.Version) (published.Values, error)
+	Domain string // own failure domain, for the addresses of peers
 	// Sleep waits between calls; for tests. It returns early when ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
 }
@@ -126,15 +131,24 @@
 func (c *Client) apply(change published.Values) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	merged, err := published.Merge(c.seen, change)
+	old := c.current.Load()
+	// While the newest publication fails a check, a peer may have one that is
+	// newer than that in force and passes.
+	behind := change.Revision < c.seen.Revision && change.Revision > old.values.Revision
+	base := c.seen
+	if behind {
+		base = old.values
+	}
+	merged, err := published.Merge(base, change)
 	if err != nil {
 		return err
 	}
-	if merged.Revision == c.seen.Revision && c.seen.Full {
+	if merged.Revision == base.Revision && base.Full {
 		return nil
 	}
-	c.seen, c.olderLog = merged, false
-	old := c.current.Load()
+	if !behind {
+		c.seen, c.olderLog = merged, false
+	}
 	s, err := c.cache.Build(merged, old.snapshot)
 	if err != nil {
 		c.refused.Add(1)
@@ -188,6 +202,7 @@
 		c.cfg.Log.Warn("platform call failed", "url", c.cfg.URL, "after", uint64(after), "err", err)
 		return 0, false
 	case started && change.Revision == after:
+		c.askPeers(ctx)
 		return 0, time.Since(begin) >= min(quick, c.cfg.Wait/2)
 	case started && change.Revision < after:
 		c.noteOlder(change.Revision)
@@ -197,6 +212,7 @@
 	if err := c.apply(change); err != nil && !errors.Is(err, published.ErrOlder) {
 		c.cfg.Log.Error("publication refused", "revision", uint64(change.Revision),
 			"in_force", uint64(c.Values().Revision), "err", err)
+		c.askPeers(ctx)
 		return changePause, !errors.Is(err, published.ErrGap)
 	}
 	return changePause, true
--- a/node/platform/platform_test.go
+++ b/node/platform/platform_test.go
@@ -19,7 +19,7 @@
 	"egrettack.example/settings/published"
 )
 
-const root = `{"level": "root", "domains": {"north": {"number": 1, "region": "west"}}}`
+const root = `{"level": "root", "domains": {"north": {"number": 1, "region": "west"}, "south": {"number": 2, "region": "west"}}}`
 
 // quiet drops what clients log.
 var quiet = slog.New(slog.DiscardHandler)
@@ -243,6 +243,38 @@
 	})
 }
 
+// Guards against an instance that cannot start while a faulty publication
+// stands, though its peers have an earlier one in force.
+func TestStartDuringBadPublication(t *testing.T) {
+	bad := tree(9, "settings/west", "{", "instances/south", "{", "instances/north", `{"instances": [{"id": 1, "name": "n1",
+		"data": "127.0.0.1:1", "control": "127.0.0.1:2", "rpc": "127.0.0.1:3",
+		"via": {"south": {"data": "127.0.0.1:4", "control": "127.0.0.1:5", "rpc": "127.0.0.1:6"}}}]}`)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	fixed := tree(10, "settings/west", `{"level": "district"}`, "instances/south", `{"instances": []}`)
+	s := &script{t: t, stop: cancel, steps: []http.HandlerFunc{answer(bad), answer(bad), answer(fixed)}}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	var asked []string
+	var versions []snapshot.Version
+	c := platform.New(platform.Config{
+		URL: server.URL, Log: quiet, Domain: "south", Sleep: func(context.Context, time.Duration) {},
+		OnSnapshot: func(s *snapshot.Snapshot) { versions = append(versions, s.Version) },
+		Fetch: func(_ context.Context, addr string, after snapshot.Version) (published.Values, error) {
+			if asked = append(asked, addr); len(asked) == 1 {
+				return published.Values{}, errors.New("not reachable")
+			}
+			v := tree(8)
+			v.Full = true
+			return v, nil
+		},
+	})
+	c.Run(ctx)
+	check(t, "peers asked", asked, []string{"127.0.0.1:6", "127.0.0.1:6"})
+	check(t, "versions", versions, []snapshot.Version{8, 10})
+	check(t, "calls", s.calls, []string{"0", "9", "9", "10"})
+}
+
 // Guards against a peer's older or faulty values taking force.
 func TestMerge(t *testing.T) {
 	c := platform.New(platform.Config{Log: quiet})
--- a/settings/published/lists.go
+++ b/settings/published/lists.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -169,3 +170,27 @@
 	slices.SortFunc(b.in.Hosts, func(x, y snapshot.Host) int { return cmp.Compare(x.ID, y.ID) })
 	slices.SortFunc(b.in.Instances, func(x, y snapshot.Instance) int { return cmp.Compare(x.ID, y.ID) })
 }
+
+// RPCAddresses returns the rpc addresses of the listed instances as seen from
+// a domain. Lists with errors are passed over, so that it serves for values
+// that fail the checks.
+func RPCAddresses(values Values, domain string) (addrs []string) {
+	for _, key := range slices.Sorted(maps.Keys(values.Values)) {
+		if !strings.HasPrefix(key, InstancesPrefix) {
+			continue
+		}
+		doc, problems := document.Parse(key, []byte(values.Values[key]))
+		var list InstanceList
+		if len(problems) > 0 || len(doc.Decode(&list)) > 0 {
+			continue
+		}
+		for _, r := range list.Instances {
+			addr := r.RPC
+			if via, ok := r.Via[domain]; ok {
+				addr = via.RPC
+			}
+			addrs = append(addrs, addr.String())
+		}
+	}
+	return addrs
+}
