--- a/node/metrics/engine.go
+++ b/node/metrics/engine.go
@@ -32,10 +32,10 @@
 		backlog:     desc("group_copy_backlog", "Entries that wait to be copied to the backup.", "group"),
 		copies:      desc("group_copies", "Copies held as the backup of a group.", "group"),
 		epoch:       desc("group_epoch", "Epoch of the claim on a group.", "group"),
-		connections: desc("host_connections", "Open flows on a host.", "host"),
-		slots:       desc("host_slots_used", "Requests in progress or waiting on a host.", "host"),
-		weight:      desc("host_weight", "Weight of a host in placing.", "host"),
-		usable:      desc("host_usable", "1 if the host gets new flows.", "host"),
+		connections: desc("host_connections", "Open flows on a host.", "group", "host"),
+		slots:       desc("host_slots_used", "Requests in progress or waiting on a host.", "group", "host"),
+		weight:      desc("host_weight", "Weight of a host in placing.", "group", "host"),
+		usable:      desc("host_usable", "1 if the host gets new flows.", "group", "host"),
 	})
 }
 
@@ -73,10 +73,10 @@
 		gauge(c.backlog, float64(g.Stats.Backlog), name)
 		for _, h := range g.Stats.Hosts {
 			host := strconv.FormatUint(uint64(h.Host), 10)
-			gauge(c.connections, float64(h.Connections), host)
-			gauge(c.slots, float64(h.Slots), host)
-			gauge(c.weight, h.Weight, host)
-			gauge(c.usable, number(h.Usable), host)
+			gauge(c.connections, float64(h.Connections), name, host)
+			gauge(c.slots, float64(h.Slots), name, host)
+			gauge(c.weight, h.Weight, name, host)
+			gauge(c.usable, number(h.Usable), name, host)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -140,9 +140,7 @@
 		if !e.SetSnapshot(n.now(), s) {
 			n.metrics.Refused.Inc()
 			n.log.Warn("older snapshot refused", "version", s.Version)
-			return
 		}
-		n.log.Info("snapshot in force", "version", s.Version)
 		return
 	}
 	d, ok := domainNamed(s, n.settings.Domain)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,12 +11,16 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 
+	"egrettack.example/core/engine"
 	"egrettack.example/core/snapshot"
 	"egrettack.example/settings/daemon"
 	"egrettack.example/wire/geneve"
@@ -26,15 +30,28 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
-// publication serves fixed values as the platform does.
-type publication struct{ values map[string]string }
+// publication serves fixed values as the platform does. Instance n1 gets
+// revision 2 once newer is closed; the others wait for good.
+type publication struct {
+	values map[string]string
+	newer  chan struct{}
+}
 
 func (p *publication) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	revision := 1
 	if r.URL.Query().Get("after") != "0" {
-		<-r.Context().Done()
-		return
+		var newer chan struct{}
+		if strings.HasPrefix(r.URL.Path, "/n1/") && r.URL.Query().Get("after") == "1" {
+			newer = p.newer
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-newer:
+			revision = 2
+		}
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"revision": 1, "full": true, "values": p.values})
+	_ = json.NewEncoder(w).Encode(map[string]any{"revision": revision, "full": true, "values": p.values})
 }
 
 func udpSocket(t *testing.T) *net.UDPConn {
@@ -49,56 +66,68 @@
 
 type cluster struct {
 	nodes  []*Node
+	stops  []func() // stop one instance each
+	pub    *publication
 	host   *net.UDPConn
-	egress *net.UDPConn
 	caller *net.UDPConn
 }
 
-// startCluster runs n instances of one domain in front of one host. The
-// returned function stops them.
-func startCluster(t *testing.T, n int) (*cluster, func()) {
+// startCluster runs n instances of one domain in front of one host.
+func startCluster(t *testing.T, n int) *cluster {
 	t.Helper()
-	c := &cluster{host: udpSocket(t), egress: udpSocket(t), caller: udpSocket(t)}
-	pub := &publication{}
-	srv := httptest.NewServer(pub)
+	c := &cluster{host: udpSocket(t), caller: udpSocket(t), pub: &publication{newer: make(chan struct{})}}
+	srv := httptest.NewServer(c.pub)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	list := ""
 	for i := 1; i <= n; i++ {
+		name := fmt.Sprintf("n%d", i)
 		s := &daemon.Settings{
-			ID: snapshot.InstanceID(i), Name: fmt.Sprintf("n%d", i), Domain: "north", Data: anyPort, Control: anyPort, RPC: anyPort, HTTP: anyPort,
-			Egress: c.egress.LocalAddr().(*net.UDPAddr).AddrPort(), Platform: srv.URL,
+			ID: snapshot.InstanceID(i), Name: name, Domain: "north", Data: anyPort, Control: anyPort, RPC: anyPort, HTTP: anyPort,
+			Egress: c.caller.LocalAddr().(*net.UDPAddr).AddrPort(), Platform: srv.URL + "/" + name,
 			Keys: []daemon.Key{{ID: 1, Secret: daemon.Secret{1}}}, Workers: 2, ControlBudget: 9000,
 		}
-		s.StopTimeout.Duration = 200 * time.Millisecond
+		s.StopTimeout.Duration = 300 * time.Millisecond
 		node, err := New(s, Options{Log: slog.New(slog.NewTextHandler(t.Output(), nil))})
 		if err != nil {
 			t.Fatal(err)
 		}
 		c.nodes = append(c.nodes, node)
-		list += fmt.Sprintf(`{"id": %d, "name": "n%d", "data": %q, "control": %q, "rpc": %q},`,
-			i, i, node.data.LocalAddr(), node.control.LocalAddr(), node.rpc.Addr())
+		list += fmt.Sprintf(`{"id": %d, "name": %q, "data": %q, "control": %q, "rpc": %q},`,
+			i, name, node.data.LocalAddr(), node.control.LocalAddr(), node.rpc.Addr())
 	}
-	pub.values = values(c.host.LocalAddr().String(), list)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, n)
+	c.pub.values = values(c.host.LocalAddr().String(), list)
 	for _, node := range c.nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
 		go func() { done <- node.Run(ctx) }()
-	}
-	return c, func() {
-		cancel()
-		for range c.nodes {
+		stop := sync.OnceFunc(func() {
+			cancel()
 			if err := <-done; err != nil {
 				t.Error(err)
 			}
+		})
+		c.stops = append(c.stops, stop)
+		t.Cleanup(stop)
+	}
+	for _, node := range c.nodes {
+		await(t, node.settings.Name+" ready", func() bool { return node.ready() == nil })
+	}
+	return c
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no " + what)
 		}
-		srv.CloseClientConnections()
-		srv.Close()
 	}
 }
 
 func values(host, instances string) map[string]string {
 	return map[string]string{
 		"settings/root": `{"level": "root", "domains": {"north": {"number": 1, "region": "west"}},
-			"work": {"deadline": "2s"}, "host": {"slots": 2, "queue": 3, "connections": 100}}`,
+			"work": {"deadline": "2s"}, "host": {"slots": 2, "queue": 30, "connections": 100}}`,
 		"settings/west":                 `{"level": "district"}`,
 		"settings/west/register":        `{"level": "service", "number": 7}`,
 		"settings/west/register/lookup": `{"level": "kind", "number": 2, "addresses": ["10.9.0.1:7002/tcp"], "work": {"occupies": "slot", "share": 0.4}}`,
@@ -107,19 +136,6 @@
 	}
 }
 
-func (c *cluster) awaitReady(t *testing.T) {
-	t.Helper()
-	end := time.Now().Add(patience)
-	for _, n := range c.nodes {
-		for err := n.ready(); err != nil; err = n.ready() {
-			if time.Now().After(end) {
-				t.Fatalf("%s: %v", n.settings.Name, err)
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-}
-
 // segment is a TCP packet of a caller.
 func segment(t *testing.T, port uint16, seq uint32, syn bool) []byte {
 	t.Helper()
@@ -169,12 +185,11 @@
 	}
 }
 
-// Guards against an instance that does not boot, forward, relay or stop: all
-// packets of a flow reach its host unchanged, whichever instance gets them.
-func TestForward(t *testing.T) {
-	c, stop := startCluster(t, 2)
-	defer stop()
-	c.awaitReady(t)
+// Guards against an instance that does not boot, forward or relay: all packets
+// of a flow reach its host unchanged, whichever instance gets them, and do so
+// after the owner of its group has stopped.
+func TestForwardAndStop(t *testing.T) {
+	c := startCluster(t, 2)
 	for port := uint16(2000); port < 2004; port++ {
 		for i, node := range []*Node{c.nodes[0], c.nodes[1], c.nodes[0]} {
 			p := segment(t, port, 100+uint32(i), i == 0)
@@ -182,14 +197,38 @@
 			expect(t, c.host, 7, p)
 		}
 	}
-	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/status"} {
+	owner := slices.IndexFunc(c.nodes, func(n *Node) bool {
+		return slices.ContainsFunc(n.status().Groups, func(g engine.GroupStatus) bool { return g.Role == "owner" })
+	})
+	c.stops[owner]()
+	for port := uint16(2000); port < 2006; port++ {
+		p := segment(t, port, 200, port >= 2004)
+		c.send(t, c.nodes[1-owner], p)
+		expect(t, c.host, 7, p)
+	}
+}
+
+// Guards against an instance that is cut off from the platform and stays with
+// old values although a peer has newer ones.
+func TestSnapshotFromPeer(t *testing.T) {
+	c := startCluster(t, 2)
+	close(c.pub.newer)
+	await(t, "newer snapshot at n2", func() bool { return c.nodes[1].engine.Load().Snapshot().Version == 2 })
+}
+
+// Guards against pages that operators and monitoring rely on and that fail.
+func TestPages(t *testing.T) {
+	c := startCluster(t, 1)
+	for path, want := range map[string]int{
+		"/healthz": 200, "/readyz": 200, "/metrics": 200, "/status": 200, "/debug/pprof/": 404,
+	} {
 		resp, err := http.Get("http://" + c.nodes[0].http.Addr().String() + path)
 		if err != nil {
 			t.Fatal(err)
 		}
 		body, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
+		if resp.StatusCode != want {
 			t.Errorf("%s: status %d: %s", path, resp.StatusCode, body)
 		}
 	}
