--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -69,12 +69,8 @@
 }
 
 // New builds a snapshot. previous may be nil; it tells which endpoints have
-<<<<<<< HEAD
-// moved from one service to another, and services with the same groups take
-// over its ranking.
-=======
-// moved from one service to another and how flows were ranked before.
->>>>>>> engine
+// moved from one service to another and how flows were ranked before; services
+// with the same groups take over its ranking.
 func New(in Input, previous *Snapshot) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:   in.Version,
@@ -166,17 +162,10 @@
 		return fmt.Errorf("service %s: number %d is used twice", svc.Name, svc.ID)
 	}
 	svc.Groups = formGroups(svc.ID, hosts, size)
-<<<<<<< HEAD
-	svc.ranks = previous.ranksFor(svc.ID, svc.Groups)
-	if svc.ranks == nil {
-		svc.ranks = rankGroups(svc.Groups)
-	}
-=======
 	if len(svc.Groups) > maxGroups {
 		return fmt.Errorf("service %s: %d groups are more than %d", svc.Name, len(svc.Groups), maxGroups)
 	}
 	svc.rank(previous)
->>>>>>> engine
 	p := &svc
 	s.Services[svc.ID] = p
 	for _, g := range svc.Groups {
@@ -352,23 +341,6 @@
 	}
 	return slices.DeleteFunc(groups, func(g *Group) bool { return len(g.Hosts) == 0 })
 }
-
-// ranksFor returns the ranking of a service if s has it with the same groups
-// and weights. Computing the rankings of all services takes most of the time
-// of a change, and few changes touch a weight.
-func (s *Snapshot) ranksFor(id ServiceID, groups []*Group) []rankRow {
-	if s == nil || s.Services[id] == nil {
-		return nil
-	}
-	same := slices.EqualFunc(s.Services[id].Groups, groups, func(a, b *Group) bool {
-		return a.ID == b.ID && a.Weight == b.Weight
-	})
-	if !same {
-		return nil
-	}
-	return s.Services[id].ranks
-}
-
 func rankGroups(groups []*Group) []rankRow {
 	if len(groups) == 0 {
 		return nil
