Keep the packets of a flow in order on their way through an instance

Cause: workers read batches one after the other but sent them at once, so packets of one flow overtook one another. That slows TCP down and looks like retransmissions to the owner.

Change: a batch waits for the earlier batches that hold a packet of one of its lanes (16,384 classes of flows by hash). Waiting goes to earlier batches only, so it cannot form a circle.

Ruled out: handing packets to workers by hash over channels, which puts one more wake-up on each packet at low rates; several sockets with SO_REUSEPORT, since the design has one data socket and relayed packets of one instance would all reach one of them.

--- a/node/dataplane/bench_test.go
+++ b/node/dataplane/bench_test.go
@@ -336,7 +336,7 @@
 func newWorkerRig(tb testing.TB, remote bool) *workerRig {
 	tb.Helper()
 	p, plane := newPlane(tb, 1, remote)
-	w, err := plane.newWorker()
+	w, err := plane.newWorker(0)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/node/dataplane/plane.go
+++ b/node/dataplane/plane.go
@@ -55,6 +55,7 @@
 	cfg    Config
 	egress *net.UDPAddr
 	reader *ipv4.PacketConn
+	order  *order
 }
 
 // New returns a plane on cfg.Conn, which the plane closes when Run ends.
@@ -62,8 +63,10 @@
 	// The sizes are a wish; the kernel's limits are the operator's.
 	_ = cfg.Conn.SetReadBuffer(socketBuffer)
 	_ = cfg.Conn.SetWriteBuffer(socketBuffer)
+	cfg.Workers = min(max(cfg.Workers, 1), maxWorkers)
 	return &Plane{
 		cfg:    cfg,
+		order:  newOrder(cfg.Workers),
 		egress: net.UDPAddrFromAddrPort(cfg.Egress),
 		reader: ipv4.NewPacketConn(anonymous{cfg.Conn}),
 	}
@@ -78,9 +81,9 @@
 
 // Run forwards packets until ctx is done.
 func (p *Plane) Run(ctx context.Context) error {
-	workers := make([]*worker, max(p.cfg.Workers, 1))
+	workers := make([]*worker, p.cfg.Workers)
 	for i := range workers {
-		w, err := p.newWorker()
+		w, err := p.newWorker(i)
 		if err != nil {
 			return trace.Wrap(err, "start data worker %d", i)
 		}
--- a/node/dataplane/verdict_test.go
+++ b/node/dataplane/verdict_test.go
@@ -94,7 +94,7 @@
 				Conn: listen(t), Brain: brain, Domain: 1, Egress: addrOf(egress), Metrics: metrics.New(), Log: slog.New(slog.DiscardHandler),
 				Learn: func(to *snapshot.Instance, _ message.Learn) { learned = append(learned, to.ID) },
 			})
-			w, err := plane.newWorker()
+			w, err := plane.newWorker(0)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/node/dataplane/worker.go
+++ b/node/dataplane/worker.go
@@ -52,6 +52,7 @@
 
 // worker reads, decides and writes one batch at a time.
 type worker struct {
+	id     int
 	plane  *Plane
 	conn   net.PacketConn // own descriptor of the data socket
 	writer *ipv4.PacketConn
@@ -60,6 +61,8 @@
 	in   []ipv4.Message
 	out  []ipv4.Message
 	n    int // used part of out
+	// after are the batches to wait for, by worker.
+	after []uint64
 
 	addrs map[netip.AddrPort]*net.UDPAddr
 	// plain counts the packets without a reason, by verdict, which are nearly
@@ -74,13 +77,13 @@
 	packet flow.Packet
 }
 
-func (p *Plane) newWorker() (*worker, error) {
+func (p *Plane) newWorker(id int) (*worker, error) {
 	conn, err := duplicate(p.cfg.Conn)
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		plane: p, conn: conn, writer: ipv4.NewPacketConn(conn),
+		id: id, plane: p, conn: conn, writer: ipv4.NewPacketConn(conn), after: make([]uint64, len(p.order.turns)),
 		bufs: make([][]byte, batchLen), in: make([]ipv4.Message, batchLen), out: make([]ipv4.Message, batchLen),
 		addrs:    make(map[netip.AddrPort]*net.UDPAddr),
 		counts:   make(map[outcome]int),
@@ -110,7 +113,7 @@
 
 func (w *worker) run() {
 	for {
-		n, err := w.plane.reader.ReadBatch(w.in, 0)
+		n, err := w.read()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -120,14 +123,32 @@
 			continue
 		}
 		w.plane.cfg.Metrics.Batch.Observe(float64(n))
+		w.plane.order.await(w.after)
 		now := w.plane.cfg.Now()
 		for i := range n {
 			w.one(now, w.bufs[i], w.in[i].N)
 		}
 		w.flush()
+		w.plane.order.end(w.id)
 	}
 }
 
+// read reads a batch and enters it into the order of batches.
+func (w *worker) read() (int, error) {
+	o := w.plane.order
+	o.read.Lock()
+	defer o.read.Unlock()
+	n, err := w.plane.reader.ReadBatch(w.in, 0)
+	if err != nil {
+		return 0, err
+	}
+	o.begin(w.id)
+	for i := range n {
+		o.enter(w.id, laneOf(w.bufs[i][headroom:headroom+w.in[i].N]), w.after)
+	}
+	return n, nil
+}
+
 // one handles the datagram of n bytes behind the headroom of buf.
 func (w *worker) one(now time.Duration, buf []byte, n int) {
 	h := &w.header
