--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # RUN selects scenarios by name, SEED repeats a run.
 scenarios: build
-	SCENARIOS=1 SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
+	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
 
 clean:
 	rm -rf $(BIN)
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -37,7 +37,7 @@
 			err := c.do(ts.Value(runKey{}).(*run), ts, args)
 			switch {
 			case err != nil && !neg:
-				ts.Fatalf("%s: %s", name, trace.UserMessage(err))
+				ts.Fatalf("%s: %s", name, err)
 			case err == nil && neg:
 				ts.Fatalf("%s succeeded unexpectedly", name)
 			}
@@ -201,7 +201,7 @@
 	}
 	for _, c := range conditions {
 		if err := check(s, c); err != nil {
-			return trace.Wrap(err, "call %s: %s: %v %v", a[0], trace.UserMessage(err), shown(s.Failures), shown(s.Notes))
+			return trace.Errorf("call %s: %s: %v %v", a[0], err, shown(s.Failures), shown(s.Notes))
 		}
 	}
 	return nil
--- a/testkit/scenario/observe.go
+++ b/testkit/scenario/observe.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
-	"egrettack.example/core/engine"
 	"egrettack.example/core/snapshot"
 	"egrettack.example/testkit/control"
 	"egrettack.example/testkit/hosts"
@@ -33,8 +33,17 @@
 	return control.Get(ctx, url, v)
 }
 
-func (r *run) status(i world.Instance) (engine.Status, error) {
-	var s engine.Status
+// status is the part of an instance's status page that scenarios use.
+type status struct {
+	Version snapshot.Version `json:"version"`
+	Groups  []struct {
+		Group string `json:"group"` // service, domain and index
+		Role  string `json:"role"`
+	} `json:"groups"`
+}
+
+func (r *run) status(i world.Instance) (status, error) {
+	var s status
 	err := get(pageURL(i.HTTP, "status"), &s)
 	return s, trace.Wrap(err, "status of %s", i.Name)
 }
@@ -71,18 +80,15 @@
 	return nil
 }
 
-// role returns the instance with a role in the first group of a service that
-// one has, in a domain.
+// role returns the instance with a role in the first group of a service in a
+// domain.
 func (r *run) role(role, service, domain string) (world.Instance, error) {
 	number, err := r.service(service)
 	if err != nil {
 		return world.Instance{}, err
 	}
-	id := snapshot.DomainID(0)
-	for n, d := range domainNumbers {
-		if d == domain {
-			id = snapshot.DomainID(n + 1)
-		}
+	group := snapshot.GroupID{
+		Service: snapshot.ServiceID(number), Domain: snapshot.DomainID(slices.Index(domainNumbers, domain) + 1),
 	}
 	for _, i := range r.live() {
 		s, err := r.status(i)
@@ -90,7 +96,7 @@
 			return world.Instance{}, err
 		}
 		for _, g := range s.Groups {
-			if g.Role == role && g.Group.Index == 0 && g.Group.Domain == id && uint32(g.Group.Service) == number {
+			if g.Role == role && g.Group == group.String() {
 				return i, nil
 			}
 		}
--- a/testkit/scenario_test.go
+++ b/testkit/scenario_test.go
@@ -28,7 +28,11 @@
 		}
 	}
 	t.Logf("SEED=%d", seed)
-	bin, err := filepath.Abs("../.bin")
+	dir := os.Getenv("BIN")
+	if dir == "" {
+		dir = "../.bin"
+	}
+	bin, err := filepath.Abs(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,5 +40,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	testscript.Run(t, scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, "scenarios"))
+	p := scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, "scenarios")
+	if p.WorkdirRoot = os.Getenv("KEEP"); p.WorkdirRoot != "" {
+		// The logs of all processes stay in this directory.
+		p.TestWork = true
+	}
+	testscript.Run(t, p)
 }
