Start from a peer's settings while the platform is down

Learning peers by heartbeat; heartbeats of unlisted instances are ignored on purpose.

Change: the optional setting peers lists rpc addresses; the platform client asks them and the listed instances when nothing is in force and a call fails or a publication is refused.

An instance with a new number still needs to be listed before peers accept its heartbeats.

--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -76,7 +77,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	n.platform = platform.New(platform.Config{URL: s.Platform, OnSnapshot: n.apply, Log: n.log})
+	n.platform = platform.New(platform.Config{
+		URL: s.Platform, OnSnapshot: n.apply, Log: n.log,
+		Fetch: n.peers.SnapshotSince, Domain: s.Domain, Peers: addresses(s.Peers),
+	})
 	n.watch()
 	if err := n.listen(); err != nil {
 		n.close()
@@ -85,6 +89,14 @@
 	return n, nil
 }
 
+func addresses(list []netip.AddrPort) []string {
+	out := make([]string, len(list))
+	for i, a := range list {
+		out[i] = a.String()
+	}
+	return out
+}
+
 func (n *Node) watch() {
 	n.metrics.WatchEngine(n.status)
 	stats := func(f func(platform.Stats) uint64) func() float64 {
--- a/node/platform/peers.go
+++ b/node/platform/peers.go
@@ -19,8 +19,8 @@
 )
 
 // askPeers asks some listed instances for the values that they have in force,
-// when this one has none. Without it an instance that starts while a faulty
-// publication stands could not serve until it is corrected.
+// when this one has none. Without it an instance that starts while the platform
+// is down or a faulty publication stands could not serve until that is over.
 func (c *Client) askPeers(ctx context.Context) {
 	if c.cfg.Fetch == nil || c.Snapshot() != nil {
 		return
@@ -28,6 +28,7 @@
 	c.mu.Lock()
 	addrs := published.RPCAddresses(c.seen, c.cfg.Domain)
 	c.mu.Unlock()
+	addrs = append(addrs, c.cfg.Peers...)
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	for _, addr := range addrs[:min(peersAtOnce, len(addrs))] {
 		call, cancel := context.WithTimeout(ctx, peerTime)
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -49,10 +49,14 @@
 	Wait       time.Duration // longest wait of one call, 55 s when zero
 	HTTP       *http.Client  // for tests; a client without proxy when nil
 	// Fetch asks a peer for values, as rpc.Client.SnapshotSince does. It is
-	// used when nothing is in force and the publication fails a check: the
-	// instances that it lists may have an earlier one in force. It may be nil.
+	// used when nothing is in force and the platform does not answer or its
+	// publication fails a check: other instances may have an earlier one in
+	// force. It may be nil.
 	Fetch  func(ctx context.Context, addr string, after snapshot.Version) (published.Values, error)
 	Domain string // own failure domain, for the addresses of peers
+	// Peers are rpc addresses to ask beside those of the list, for a start
+	// while the platform is down and there is no list.
+	Peers []string
 	// Sleep waits between calls; for tests. It returns early when ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
 }
@@ -200,6 +204,7 @@
 	case err != nil:
 		c.failures.Add(1)
 		c.cfg.Log.Warn("platform call failed", "url", c.cfg.URL, "after", uint64(after), "err", err)
+		c.askPeers(ctx)
 		return 0, false
 	case started && change.Revision == after:
 		c.askPeers(ctx)
--- a/node/platform/platform_test.go
+++ b/node/platform/platform_test.go
@@ -275,6 +275,29 @@
 	check(t, "calls", s.calls, []string{"0", "9", "9", "10"})
 }
 
+// Guards against an instance that cannot serve because it starts while the
+// platform is down, although other instances have settings in force.
+func TestStartWhilePlatformIsDown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var asked []string
+	c := platform.New(platform.Config{
+		URL: "http://127.0.0.1:1", Log: quiet, Domain: "south", Peers: []string{"127.0.0.1:9"},
+		Sleep:      func(context.Context, time.Duration) {},
+		OnSnapshot: func(*snapshot.Snapshot) { cancel() },
+		Fetch: func(_ context.Context, addr string, _ snapshot.Version) (published.Values, error) {
+			if asked = append(asked, addr); len(asked) < 3 {
+				return published.Values{}, errors.New("not reachable")
+			}
+			v := tree(8)
+			v.Full = true
+			return v, nil
+		},
+	})
+	c.Run(ctx)
+	check(t, "peers asked", asked, []string{"127.0.0.1:9", "127.0.0.1:9", "127.0.0.1:9"})
+	check(t, "version", c.Snapshot().Version, 8)
+}
+
 // Guards against a peer's older or faulty values taking force.
 func TestMerge(t *testing.T) {
 	c := platform.New(platform.Config{Log: quiet})
--- a/settings/daemon/daemon.go
+++ b/settings/daemon/daemon.go
@@ -24,6 +24,7 @@
 	HTTP          netip.AddrPort      `json:"http" required:"true" unit:"address:port, TCP"`
 	Egress        netip.AddrPort      `json:"egress" required:"true" unit:"address:port, UDP"`
 	Platform      string              `json:"platform" required:"true" unit:"http or https URL"`
+	Peers         []netip.AddrPort    `json:"peers" unit:"address:port, TCP"`
 	Keys          []Key               `json:"keys" required:"true"`
 	Workers       int                 `json:"workers" default:"4" min:"1" max:"256" unit:"goroutines"`
 	ControlBudget int                 `json:"control_budget" default:"9000" min:"1000" max:"100000000" unit:"bytes a second"`
