--- a/core/group/walk.go
+++ b/core/group/walk.go
@@ -13,10 +13,11 @@
 func (t *Table) Walk(
 	now time.Duration, cursor uint64, n int, visit func(message.Entry),
 ) (next uint64, more bool) {
-	return t.flows.Walk(cursor, n, func(e *table.Entry) {
+	return t.flows.Walk(cursor, n, func(e *table.Entry) bool {
 		if !e.Has(table.Redirected) && e.State() < table.Closing {
 			visit(t.export(now, e))
 		}
+		return true
 	})
 }
 
@@ -24,11 +25,12 @@
 // groups, as learn messages for the next owner.
 func (t *Table) Redirects(now time.Duration, n int) []message.Learn {
 	var out []message.Learn
-	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) {
-		if len(out) < n && e.Has(table.Redirected) && e.State() < table.Closing {
+	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) bool {
+		if e.Has(table.Redirected) && e.State() < table.Closing {
 			id := t.cfg.Group.ID
 			out = append(out, message.Learn{Group: id, Entry: t.export(now, e), HeldBy: e.Redirect(id.Service)})
 		}
+		return len(out) < n
 	})
 	return out
 }
