Forget young flows of an address that leaves their service

Change: group.Table.ForgetYoung on a move; a woken instance without peers in its domain waits for those of other domains.

--- a/core/engine/local.go
+++ b/core/engine/local.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"egrettack.example/core/flow"
 	"egrettack.example/core/group"
 	"egrettack.example/core/member"
 	"egrettack.example/core/message"
@@ -111,12 +112,27 @@
 	g := groupIn(s, l.id)
 	if l.table != nil {
 		l.table.Update(now, s, g)
+		l.forgetMoved(now, s)
 	}
 	if l.pull.table != nil {
 		l.pull.table.Update(now, s, g)
 	}
 }
 
+// forgetMoved removes young flows to endpoints that leave the group's service
+// with this snapshot.
+func (l *local) forgetMoved(now time.Duration, s *snapshot.Snapshot) {
+	var left []snapshot.Endpoint
+	for _, m := range s.Moves() {
+		if m.Version == s.Version && m.From == l.id.Service {
+			left = append(left, m.Endpoint)
+		}
+	}
+	if len(left) > 0 {
+		l.table.ForgetYoung(now, func(k flow.Key) bool { return slices.Contains(left, endpoint(k)) })
+	}
+}
+
 // newTable makes the table of a new claim.
 func (e *Engine) newTable(
 	now time.Duration, v *member.View, id snapshot.GroupID, epoch uint64, base []snapshot.HostID,
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -181,7 +181,7 @@
 	}
 	t.hearDomain(now, p, h)
 	t.hearMoves(h.Moved)
-	if t.stale && p.inst.Domain == t.cfg.Domain {
+	if t.stale {
 		t.sinceWoke[h.From] = true
 	}
 	if p.judged != t.judgePeer(now, p) {
@@ -278,17 +278,32 @@
 }
 
 // fresh reports whether a woken process may decide again: it has heard more
-// than half of its domain's live peers, or has waited three intervals.
+// than half of its domain's live peers, or has waited three intervals. One
+// without peers in its domain goes by those of other domains, which may have
+// taken its groups over meanwhile.
 func (t *Tracker) fresh(now time.Duration) bool {
-	live := 0
-	every := BaseInterval
-	for _, p := range t.peers {
-		if p.inst.Domain == t.cfg.Domain && p.heard && p.judged != message.Gone {
-			live++
-			every = max(every, p.every)
+	live, heard, every := t.sinceWake(func(p *peer) bool { return p.inst.Domain == t.cfg.Domain })
+	if live == 0 {
+		live, heard, every = t.sinceWake(func(*peer) bool { return true })
+	}
+	return live == 0 || 2*heard > live || now-t.woke >= staleIntervals*every
+}
+
+// sinceWake counts the peers that were alive before the pause, and how many of
+// them have been heard since, and returns their longest interval.
+func (t *Tracker) sinceWake(among func(*peer) bool) (live, heard int, every time.Duration) {
+	every = BaseInterval
+	for id, p := range t.peers {
+		if !p.heard || p.judged == message.Gone || !among(p) {
+			continue
+		}
+		live++
+		every = max(every, p.every)
+		if t.sinceWoke[id] {
+			heard++
 		}
 	}
-	return live == 0 || 2*len(t.sinceWoke) > live || now-t.woke >= staleIntervals*every
+	return live, heard, every
 }
 
 // joined reports whether a joining instance has heard its domain's peers and
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -341,6 +341,7 @@
 	}
 	return slices.DeleteFunc(groups, func(g *Group) bool { return len(g.Hosts) == 0 })
 }
+
 func rankGroups(groups []*Group) []rankRow {
 	if len(groups) == 0 {
 		return nil
