Log changes of views and groups; share the packet builder of tests

Cause: nothing in the log told when an instance became ready, suspected a peer or took over a group. Three test files built the same packets.

--- a/node/dataplane/plane_test.go
+++ b/node/dataplane/plane_test.go
@@ -1,14 +1,10 @@
 package dataplane
 
 import (
-	"bytes"
 	"testing"
 
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
-
 	"egrettack.example/core/flow"
-	"egrettack.example/wire/geneve"
+	"egrettack.example/wire/wiretest"
 )
 
 const (
@@ -19,33 +15,13 @@
 func packet(port uint16, flags flow.Flags) flow.Packet {
 	return flow.Packet{
 		Key:   flow.Key{Src: caller, Dst: callee, SrcPort: port, DstPort: 7002, Proto: flow.TCP},
-		Flags: flags, Seq: 100, PayloadLen: uint16(len(payload)),
+		Flags: flags, Seq: 100, PayloadLen: 64,
 	}
 }
 
-var payload = bytes.Repeat([]byte("x"), 64)
-
 // tunnelled is a caller's packet as the fabric delivers it.
 func tunnelled(tb testing.TB, port uint16, flags flow.Flags) []byte {
-	tb.Helper()
-	p := packet(port, flags)
-	ip := &layers.IPv4{Version: 4, TTL: 60, Protocol: layers.IPProtocolTCP, SrcIP: p.Key.Src.Netip().AsSlice(), DstIP: p.Key.Dst.Netip().AsSlice()}
-	tcp := &layers.TCP{
-		SrcPort: layers.TCPPort(port), DstPort: layers.TCPPort(p.Key.DstPort), Seq: p.Seq, Window: 9,
-		SYN: flags.Has(flow.SYN), ACK: flags.Has(flow.ACK),
-	}
-	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
-		tb.Fatal(err)
-	}
-	buf := gopacket.NewSerializeBuffer()
-	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
-	if err := gopacket.SerializeLayers(buf, opts, ip, tcp, gopacket.Payload(payload)); err != nil {
-		tb.Fatal(err)
-	}
-	head := make([]byte, geneve.HeaderLen)
-	var h geneve.Header
-	h.Write(head)
-	return append(head, buf.Bytes()...)
+	return wiretest.FromFabric(wiretest.Packet(tb, packet(port, flags)))
 }
 
 // raceDetector tells that the test runs under the race detector.
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"egrettack.example/core/snapshot"
 	"egrettack.example/node/control"
 	"egrettack.example/node/dataplane"
+	"egrettack.example/node/journal"
 	"egrettack.example/node/metrics"
 	"egrettack.example/node/platform"
 	"egrettack.example/node/prober"
@@ -232,5 +233,6 @@
 	group.Go(func() error { return plane.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return probes.Run(ctx) })
+	group.Go(func() error { return journal.New(n.log).Run(ctx, n.status) })
 	return group.Wait()
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -17,13 +17,12 @@
 	"testing"
 	"time"
 
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
-
 	"egrettack.example/core/engine"
+	"egrettack.example/core/flow"
 	"egrettack.example/core/snapshot"
 	"egrettack.example/settings/daemon"
 	"egrettack.example/wire/geneve"
+	"egrettack.example/wire/wiretest"
 )
 
 const patience = 10 * time.Second
@@ -136,28 +135,19 @@
 	}
 }
 
-// segment is a TCP packet of a caller.
+// segment is a packet of a caller.
 func segment(t *testing.T, port uint16, seq uint32, syn bool) []byte {
-	t.Helper()
-	ip := &layers.IPv4{Version: 4, TTL: 60, Protocol: layers.IPProtocolTCP, SrcIP: net.IP{192, 0, 2, 9}, DstIP: net.IP{10, 9, 0, 1}}
-	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: 7002, Seq: seq, SYN: syn, ACK: !syn, Window: 9}
-	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
-		t.Fatal(err)
+	p := flow.Packet{Key: flow.Key{Src: 192<<24 | 2<<8 | 9, Dst: 10<<24 | 9<<16 | 1, SrcPort: port, DstPort: 7002, Proto: flow.TCP}, Flags: flow.ACK, Seq: seq}
+	if syn {
+		p.Flags = flow.SYN
 	}
-	buf := gopacket.NewSerializeBuffer()
-	if err := gopacket.SerializeLayers(buf, gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}, ip, tcp); err != nil {
-		t.Fatal(err)
-	}
-	return bytes.Clone(buf.Bytes())
+	return wiretest.Packet(t, p)
 }
 
 // send delivers inner to a node as the fabric does.
 func (c *cluster) send(t *testing.T, to *Node, inner []byte) {
 	t.Helper()
-	var h geneve.Header
-	b := make([]byte, geneve.HeaderLen)
-	h.Write(b)
-	if _, err := c.caller.WriteTo(append(b, inner...), to.data.LocalAddr()); err != nil {
+	if _, err := c.caller.WriteTo(wiretest.FromFabric(inner), to.data.LocalAddr()); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/wire/ip4/ip4_test.go
+++ b/wire/ip4/ip4_test.go
@@ -11,41 +11,17 @@
 
 	"egrettack.example/core/flow"
 	"egrettack.example/core/group"
+	"egrettack.example/wire/wiretest"
 )
 
-var (
-	src = netip.MustParseAddr("192.0.2.9")
-	dst = netip.MustParseAddr("10.9.0.1")
-)
-
-func build(t testing.TB, l4 gopacket.SerializableLayer, proto layers.IPProtocol, change func(*layers.IPv4), payload string) []byte {
-	t.Helper()
-	ip := &layers.IPv4{Version: 4, TTL: 9, Protocol: proto, SrcIP: src.AsSlice(), DstIP: dst.AsSlice()}
-	if change != nil {
-		change(ip)
-	}
-	type checksummed interface {
-		SetNetworkLayerForChecksum(gopacket.NetworkLayer) error
-	}
-	if c, ok := l4.(checksummed); ok {
-		if err := c.SetNetworkLayerForChecksum(ip); err != nil {
-			t.Fatal(err)
-		}
-	}
-	buf := gopacket.NewSerializeBuffer()
-	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
-	if err := gopacket.SerializeLayers(buf, opts, ip, l4, gopacket.Payload(payload)); err != nil {
-		t.Fatal(err)
-	}
-	return bytes.Clone(buf.Bytes())
+var sent = flow.Packet{
+	Key:   flow.Key{Src: 192<<24 | 2<<8 | 9, Dst: 10<<24 | 9<<16 | 1, SrcPort: 999, DstPort: 7002, Proto: flow.TCP},
+	Flags: flow.SYN | flow.PSH, Seq: 5, Ack: 6, PayloadLen: 4,
 }
 
-func tcp(t testing.TB, change func(*layers.IPv4), payload string) []byte {
-	return build(t, &layers.TCP{SrcPort: 999, DstPort: 7002, Seq: 5, Ack: 6, SYN: true, PSH: true, Window: 1}, layers.IPProtocolTCP, change, payload)
-}
-
-func udp(t testing.TB, payload string) []byte {
-	return build(t, &layers.UDP{SrcPort: 999, DstPort: 53}, layers.IPProtocolUDP, nil, payload)
+var datagram = flow.Packet{
+	Key:        flow.Key{Src: sent.Key.Src, Dst: sent.Key.Dst, SrcPort: 999, DstPort: 53, Proto: flow.UDP},
+	PayloadLen: 2,
 }
 
 // fixChecksum makes the IPv4 header checksum right again after a change.
@@ -58,10 +34,6 @@
 // Guards against fields taken from the wrong place, with IP options and with
 // bytes after the end of the packet as well.
 func TestRead(t *testing.T) {
-	key := flow.Key{Src: flow.AddrFrom(src), Dst: flow.AddrFrom(dst), SrcPort: 999, DstPort: 7002, Proto: flow.TCP}
-	want := flow.Packet{Key: key, Flags: flow.SYN | flow.PSH, Seq: 5, Ack: 6, PayloadLen: 4}
-	datagram := flow.Packet{Key: key, PayloadLen: 2}
-	datagram.Key.DstPort, datagram.Key.Proto = 53, flow.UDP
 	options := func(ip *layers.IPv4) {
 		ip.Options = []layers.IPv4Option{{OptionType: 148, OptionLength: 4, OptionData: []byte{0, 0}}}
 	}
@@ -70,10 +42,10 @@
 		b    []byte
 		want flow.Packet
 	}{
-		{"tcp", tcp(t, nil, "data"), want},
-		{"tcp behind options", tcp(t, options, "data"), want},
-		{"tcp with padding", append(tcp(t, nil, "data"), 0, 0, 0), want},
-		{"udp", udp(t, "hi"), datagram},
+		{"tcp", wiretest.Packet(t, sent), sent},
+		{"tcp behind options", wiretest.Packet(t, sent, options), sent},
+		{"tcp with padding", append(wiretest.Packet(t, sent), 0, 0, 0), sent},
+		{"udp", wiretest.Packet(t, datagram), datagram},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := flow.Packet{Flags: flow.RST, Seq: 1, Ack: 1, PayloadLen: 1}
@@ -96,7 +68,8 @@
 		}
 		return b
 	}
-	good := func() []byte { return tcp(t, nil, "data") }
+	good := func() []byte { return wiretest.Packet(t, sent) }
+	udp := func() []byte { return wiretest.Packet(t, datagram) }
 	corrupt := good()
 	corrupt[16] ^= 1
 	for _, c := range []struct {
@@ -116,9 +89,9 @@
 		{"cut TCP header", patch(good(), 2, 0, 39), ReasonShort},
 		{"TCP data offset 4", patch(good(), 32, 0x40), ReasonHeader},
 		{"TCP data offset beyond data", patch(good(), 32, 0xF0), ReasonShort},
-		{"cut UDP header", patch(udp(t, ""), 2, 0, 27), ReasonShort},
-		{"UDP length 7", patch(udp(t, ""), 24, 0, 7), ReasonHeader},
-		{"UDP length beyond data", patch(udp(t, ""), 24, 0, 9), ReasonShort},
+		{"cut UDP header", patch(udp(), 2, 0, 27), ReasonShort},
+		{"UDP length 7", patch(udp(), 24, 0, 7), ReasonHeader},
+		{"UDP length beyond data", patch(udp(), 24, 0, 11), ReasonShort},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var p flow.Packet
@@ -132,8 +105,7 @@
 // Guards against resets that a caller's TCP would ignore: wrong direction,
 // numbers, flags or checksums.
 func TestAppendReset(t *testing.T) {
-	var p flow.Packet
-	Read(tcp(t, nil, ""), &p)
+	p := flow.Packet{Key: sent.Key, Flags: flow.SYN, Seq: 5}
 	r := flow.RefuseSYN(&p)
 	b, err := AppendReset([]byte("head"), &r)
 	if err != nil {
@@ -164,8 +136,8 @@
 // Guards against disagreement with an independent decoder, and against reads
 // beyond the packet.
 func FuzzRead(f *testing.F) {
-	f.Add(tcp(f, nil, "data"))
-	f.Add(udp(f, "hi"))
+	f.Add(wiretest.Packet(f, sent))
+	f.Add(wiretest.Packet(f, datagram))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		// Without this nearly all inputs would fail by their checksum.
 		if len(b) >= ip4HeaderLen && len(b) >= int(b[0]&0x0F)*4 && b[0]&0x0F >= 5 {
@@ -216,7 +188,7 @@
 
 // Guards against allocations on the forwarding path.
 func TestNoAllocation(t *testing.T) {
-	b := tcp(t, nil, "data")
+	b := wiretest.Packet(t, sent)
 	var p flow.Packet
 	if n := testing.AllocsPerRun(100, func() { Read(b, &p) }); n != 0 {
 		t.Fatalf("%v allocations", n)
@@ -224,7 +196,7 @@
 }
 
 func BenchmarkRead(b *testing.B) {
-	in := tcp(b, nil, "data")
+	in := wiretest.Packet(b, sent)
 	var p flow.Packet
 	b.ReportAllocs()
 	for b.Loop() {
