--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -75,7 +75,7 @@
 	for _, p := range peers {
 		now[p.Instance] = p.State
 		if old, ok := j.peers[p.Instance]; !ok || old != p.State {
-			j.log.Info("peer", "peer", p.Instance, "state", p.State, "version", p.Version, "heard", p.Heard)
+			j.log.Info("peer", "peer", p.Instance, "state", p.State, "version", p.Version)
 		}
 	}
 	for id := range j.peers {
--- a/node/web/page.go
+++ b/node/web/page.go
@@ -24,7 +24,7 @@
 	Instance snapshot.InstanceID `json:"instance"`
 	State    string              `json:"state"`
 	Version  snapshot.Version    `json:"version"`
-	Heard    string              `json:"heard"` // time since the last heartbeat
+	Heard    string              `json:"heard,omitempty"` // time since the last heartbeat
 }
 
 type hostGroup struct {
@@ -52,7 +52,7 @@
 		Peers: make([]peer, len(s.Peers)), Groups: make([]hostGroup, len(s.Groups)),
 	}
 	for i, o := range s.Peers {
-		p.Peers[i] = peer{Instance: o.Instance, State: o.State.String(), Version: o.Version, Heard: o.Heard.Round(time.Millisecond).String()}
+		p.Peers[i] = peer{Instance: o.Instance, State: o.State.String(), Version: o.Version, Heard: since(o.Heard)}
 	}
 	for i, g := range s.Groups {
 		p.Groups[i] = hostGroup{
@@ -66,6 +66,14 @@
 	return p
 }
 
+// since is empty for a peer that was never heard.
+func since(d time.Duration) string {
+	if d < 0 {
+		return ""
+	}
+	return d.Round(time.Millisecond).String()
+}
+
 func newHost(h group.HostStats) host {
 	return host{Host: h.Host, Connections: h.Connections, Slots: h.Slots, Weight: h.Weight, Usable: h.Usable, Why: h.Why}
 }
