--- a/cmd/egrettackctl/instances.go
+++ b/cmd/egrettackctl/instances.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
 
 	"egrettack.example/core/engine"
 	"egrettack.example/core/flow"
@@ -73,13 +74,14 @@
 		r.Peers[p.State.String()]++
 	}
 	for _, g := range s.Groups {
-		if g.Role == "backup" {
+		switch g.Role {
+		case "backup":
 			r.Backup++
-			continue
+		case "owner":
+			r.Owned++
+			r.Flows += g.Stats.Flows
+			r.Backlog += g.Stats.Backlog
 		}
-		r.Owned++
-		r.Flows += g.Stats.Flows
-		r.Backlog += g.Stats.Backlog
 	}
 }
 
@@ -129,7 +131,11 @@
 		if ans.Result != nil {
 			text = *ans.Result
 		}
-		out.add(ans.Instance, text)
+		first := ans.Instance
+		for line := range strings.Lines(strings.TrimSpace(text)) {
+			out.add(first, strings.TrimSpace(line))
+			first = " " // the answer goes on
+		}
 	}
 	return errors.Join(a.print(answers, out), err)
 }
