--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -58,23 +59,22 @@
 	}
 }
 
+// expect takes as many events as wanted, in any order.
 func (s *script) expect(t *testing.T, want ...string) {
 	t.Helper()
-	for len(want) > 0 {
+	var got []string
+	for range want {
 		select {
-		case got := <-s.got:
-			i := 0
-			for i < len(want) && want[i] != got {
-				i++
-			}
-			if i == len(want) {
-				t.Fatalf("got %q, want one of %q", got, want)
-			}
-			want = append(want[:i], want[i+1:]...)
+		case e := <-s.got:
+			got = append(got, e)
 		case <-time.After(5 * time.Second):
-			t.Fatalf("nothing, want %q", want)
+			t.Fatalf("got %q, want %q", got, want)
 		}
 	}
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Fatalf("got %q, want %q", got, want)
+	}
 }
 
 type pair struct {
@@ -136,7 +136,7 @@
 	p.engines[0].mu.Unlock()
 	p.loops[0].Learn(to, message.Learn{From: 1})
 	p.engines[1].expect(t, "heartbeat", "learn")
-	p.engines[0].expect(t, "ack", "pull failed", "fetch", "reset")
+	p.engines[0].expect(t, "ack", "fetch", "pull failed", "reset")
 }
 
 // Guards against messages that are accepted twice or without a key.
@@ -154,10 +154,12 @@
 	p.engines[1].expect(t, "learn")
 	rejected := p.loops[1].cfg.Metrics.ControlRejected
 	for _, reason := range []string{"length", "tag", "replay"} {
-		for end := time.Now().Add(5 * time.Second); testutil.ToFloat64(rejected.WithLabelValues(reason)) != 1; time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("none rejected as %s", reason)
-			}
+		end := time.Now().Add(5 * time.Second)
+		for testutil.ToFloat64(rejected.WithLabelValues(reason)) != 1 && time.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+		}
+		if n := testutil.ToFloat64(rejected.WithLabelValues(reason)); n != 1 {
+			t.Errorf("%v rejected as %s", n, reason)
 		}
 	}
 }
--- a/node/dataplane/verdict_test.go
+++ b/node/dataplane/verdict_test.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"bytes"
 	"log/slog"
 	"net"
 	"testing"
@@ -26,11 +27,7 @@
 }
 
 func (s *script) Packet(_ time.Duration, p *flow.Packet, r *engine.Relay) engine.Action {
-	s.packet, s.relay = *p, nil
-	if r != nil {
-		c := *r
-		s.relay = &c
-	}
+	s.packet, s.relay = *p, r
 	return s.action
 }
 
@@ -38,7 +35,6 @@
 // receiver, with another header or inner packet, or not counted.
 func TestVerdicts(t *testing.T) {
 	host, peer, egress := listen(t), listen(t), listen(t)
-	sockets := map[string]*net.UDPConn{"host": host, "peer": peer, "egress": egress}
 	relay := engine.Relay{
 		Ask: group.AskHolder, Hops: 2, Asker: 3, Service: 7, Version: 9,
 		Group: snapshot.GroupID{Service: 7, Domain: 1, Index: 2},
@@ -52,43 +48,24 @@
 		t.Fatal(err)
 	}
 	for _, c := range []struct {
-		name    string
+		verdict string
 		action  engine.Action
-		to      string
+		to      *net.UDPConn
 		header  geneve.Header
 		inner   []byte
-		verdict string
 	}{
+		{"forward", engine.Action{Verdict: engine.ToHost, Host: &snapshot.Host{Service: 7, Tunnel: addrOf(host)}}, host, geneve.Header{VNI: 7}, inner},
 		{
-			"host",
-			engine.Action{Verdict: engine.ToHost, Host: &snapshot.Host{Service: 7, Tunnel: addrOf(host)}},
-			"host",
-			geneve.Header{VNI: 7},
-			inner, "forward",
-		},
-		{
-			"peer",
+			"relay",
 			engine.Action{Verdict: engine.ToPeer, Peer: &snapshot.Instance{Data: addrOf(peer)}, Relay: relay},
-			"peer",
+			peer,
 			geneve.Header{VNI: 7, Relayed: true, Relay: relay},
-			inner, "relay",
-		},
-		{
-			"caller",
-			engine.Action{Verdict: engine.ToCaller, Reset: reset, Reason: group.ReasonNoSlot},
-			"egress",
-			geneve.Header{},
-			wantReset, "reset",
-		},
-		{
-			"nobody",
-			engine.Action{Verdict: engine.Drop, Reason: group.ReasonUnknown, LearnTo: &snapshot.Instance{ID: 3}},
-			"",
-			geneve.Header{},
-			nil, "drop",
+			inner,
 		},
+		{"reset", engine.Action{Verdict: engine.ToCaller, Reset: reset, Reason: group.ReasonNoSlot}, egress, geneve.Header{}, wantReset},
+		{"drop", engine.Action{Verdict: engine.Drop, Reason: group.ReasonUnknown, LearnTo: &snapshot.Instance{ID: 3}}, nil, geneve.Header{}, nil},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.verdict, func(t *testing.T) {
 			brain := &script{action: c.action}
 			plane := New(Config{
 				Conn: listen(t), Brain: brain, Domain: 1, Egress: addrOf(egress), Metrics: metrics.New(), Log: slog.New(slog.DiscardHandler),
@@ -102,30 +79,13 @@
 			w.one(0, append(w.bufs[0][:headroom], in...), len(in))
 			w.flush()
 			if want := packet(5, flow.SYN); brain.packet != want || brain.relay != nil {
-				t.Fatalf("asked about %+v, %+v", brain.packet, brain.relay)
-			}
-			n := testutil.ToFloat64(plane.cfg.Metrics.Packets.WithLabelValues(c.verdict, string(c.action.Reason)))
-			if n != 1 {
-				t.Errorf("counted %v times as %s", n, c.verdict)
+				t.Errorf("asked about %+v, %+v", brain.packet, brain.relay)
 			}
-			if c.to == "" {
-				return
+			if n := testutil.ToFloat64(plane.cfg.Metrics.Packets.WithLabelValues(c.verdict, string(c.action.Reason))); n != 1 {
+				t.Errorf("counted %v times", n)
 			}
-			buf := make([]byte, 2048)
-			_ = sockets[c.to].SetReadDeadline(time.Now().Add(5 * time.Second))
-			k, err := sockets[c.to].Read(buf)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var h geneve.Header
-			if err := geneve.Read(buf[:k], &h); err != nil {
-				t.Fatal(err)
-			}
-			if got := string(buf[h.InnerOff:k]); got != string(c.inner) {
-				t.Errorf("inner packet % x, want % x", got, c.inner)
-			}
-			if h.InnerOff = 0; h != c.header {
-				t.Errorf("header %+v, want %+v", h, c.header)
+			if c.to != nil {
+				expect(t, c.to, c.header, c.inner)
 			}
 		})
 	}
@@ -134,6 +94,27 @@
 	}
 }
 
+// expect reads one datagram and compares it.
+func expect(t *testing.T, c *net.UDPConn, header geneve.Header, inner []byte) {
+	t.Helper()
+	buf := make([]byte, 2048)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	n, err := c.Read(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var h geneve.Header
+	if err := geneve.Read(buf[:n], &h); err != nil {
+		t.Fatal(err)
+	}
+	if got := buf[h.InnerOff:n]; !bytes.Equal(got, inner) {
+		t.Errorf("inner packet % x, want % x", got, inner)
+	}
+	if h.InnerOff = 0; h != header {
+		t.Errorf("header %+v, want %+v", h, header)
+	}
+}
+
 // BenchmarkRefuse is the cost of a refused SYN in a flood, without system calls.
 func BenchmarkRefuse(b *testing.B) {
 	reset := flow.Reset{Key: packet(5, flow.SYN).Key, Ack: 101, WithAck: true}
--- a/wire/control/control_test.go
+++ b/wire/control/control_test.go
@@ -25,6 +25,16 @@
 	return c
 }
 
+// encode appends a datagram for instance 8.
+func encode(t testing.TB, c *Codec, dst []byte, m *Message) []byte {
+	t.Helper()
+	b, err := c.Append(dst, 8, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 var (
 	groupA = snapshot.GroupID{Service: 7, Domain: 2, Index: 3}
 	groupB = snapshot.GroupID{Service: 7, Domain: 1, Index: 1}
@@ -57,19 +67,10 @@
 func TestRoundTrip(t *testing.T) {
 	c := codec(t, key(1))
 	for _, m := range samples() {
-		t.Run(m.Type().String(), func(t *testing.T) {
-			b, err := c.Append([]byte("kept"), 8, m)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := c.Read(b[len("kept"):], 8)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if !reflect.DeepEqual(got, m) {
-				t.Fatalf("got %+v, want %+v", got, m)
-			}
-		})
+		b := encode(t, c, []byte("kept"), m)
+		if got, err := c.Read(b[len("kept"):], 8); err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%s: got %+v, %v, want %+v", m.Type(), got, err, m)
+		}
 	}
 }
 
@@ -109,10 +110,7 @@
 // Guards against accepting what no holder of a listed key sent to this instance.
 func TestReadRejects(t *testing.T) {
 	c := codec(t, key(1), key(2))
-	b, err := c.Append(nil, 8, samples()[0])
-	if err != nil {
-		t.Fatal(err)
-	}
+	b := encode(t, c, nil, samples()[0])
 	if _, err := c.Read(b, 9); !errors.Is(err, ErrTag) {
 		t.Errorf("datagram for another instance: %v", err)
 	}
@@ -143,15 +141,9 @@
 		{"both to new", both, after, nil},
 		{"both to old", both, before, ErrKey},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			b, err := c.from.Append(nil, 8, samples()[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := c.to.Read(b, 8); !errors.Is(err, c.want) {
-				t.Fatalf("got %v, want %v", err, c.want)
-			}
-		})
+		if _, err := c.to.Read(encode(t, c.from, nil, samples()[0]), 8); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
 	}
 }
 
@@ -169,13 +161,9 @@
 // Guards against heartbeats that exceed what the control budget at 60 peers
 // was computed with: 90 bytes on the wire, 28 of them IP and UDP headers.
 func TestHeartbeatSize(t *testing.T) {
-	h := &message.Heartbeat{From: 420, Boot: 1 << 60, Seq: 1 << 20, State: message.Ready, Version: 1 << 20}
-	b, err := codec(t, key(1)).Append(nil, 8, &Message{Heartbeat: h})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(b) > 90-28 {
-		t.Fatalf("%d bytes", len(b))
+	h := &message.Heartbeat{From: 420, Boot: 1 << 60, Seq: 1 << 20, State: message.Ready, Version: 1 << 20, Every: 1200 * time.Millisecond}
+	if n := len(encode(t, codec(t, key(1)), nil, &Message{Heartbeat: h})); n > 90-28 {
+		t.Fatalf("%d bytes", n)
 	}
 }
 
@@ -225,10 +213,7 @@
 func FuzzRead(f *testing.F) {
 	c := codec(f, key(1))
 	for _, m := range samples() {
-		b, err := c.Append(nil, 8, m)
-		if err != nil {
-			f.Fatal(err)
-		}
+		b := encode(f, c, nil, m)
 		f.Add(b[:len(b)-tagLen])
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -240,11 +225,7 @@
 		if err != nil {
 			return
 		}
-		again, err := c.Append(nil, 8, m)
-		if err != nil {
-			t.Fatal(err)
-		}
-		m2, err := c.Read(again, 8)
+		m2, err := c.Read(encode(t, c, nil, m), 8)
 		if err != nil || !reflect.DeepEqual(m, m2) {
 			t.Fatalf("read %+v, after writing %+v, %v", m, m2, err)
 		}
@@ -254,10 +235,7 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	c := codec(b, key(1))
 	m := samples()[0]
-	raw, err := c.Append(nil, 8, m)
-	if err != nil {
-		b.Fatal(err)
-	}
+	raw := encode(b, c, nil, m)
 	b.Run("encode", func(b *testing.B) {
 		b.ReportAllocs()
 		var buf []byte
--- a/wire/geneve/geneve_test.go
+++ b/wire/geneve/geneve_test.go
@@ -14,14 +14,17 @@
 )
 
 func sample(traced bool) Header {
-	return Header{
+	h := Header{
 		VNI: 0xABCDEF, Relayed: true, Traced: traced,
 		Relay: engine.Relay{
 			Ask: group.AskSpill, Hops: 2, Asker: 420, Next: 419, Service: 0xABCDEF, Version: 1 << 40,
 			Group: snapshot.GroupID{Service: 0xABCDEF, Domain: 7, Index: 700},
 		},
-		Trace: Trace{TraceID: [16]byte{1, 2, 3, 15: 9}, SpanID: [8]byte{4, 7: 5}, Flags: 1},
 	}
+	if traced {
+		h.Trace = Trace{TraceID: [16]byte{1, 2, 3, 15: 9}, SpanID: [8]byte{4, 7: 5}, Flags: 1}
+	}
+	return h
 }
 
 func encode(h Header, inner []byte) []byte {
@@ -32,25 +35,15 @@
 
 // Guards against fields that are lost or swapped between writer and reader.
 func TestRoundTrip(t *testing.T) {
-	plain := Header{VNI: 7}
-	untraced := sample(false)
-	untraced.Trace = Trace{}
-	for name, h := range map[string]Header{"plain": plain, "relayed": untraced, "traced": sample(true)} {
-		t.Run(name, func(t *testing.T) {
-			b := encode(h, []byte("inner"))
-			var got Header
-			if err := Read(b, &got); err != nil {
-				t.Fatal(err)
-			}
-			if string(b[got.InnerOff:]) != "inner" {
-				t.Fatalf("inner packet starts at %d", got.InnerOff)
-			}
-			want := h
-			want.InnerOff = h.Len()
-			if got != want {
-				t.Fatalf("got %+v\nwant %+v", got, want)
-			}
-		})
+	for name, want := range map[string]Header{"plain": {VNI: 7}, "relayed": sample(false), "traced": sample(true)} {
+		var got Header
+		b := encode(want, []byte("inner"))
+		if err := Read(b, &got); err != nil || string(b[got.InnerOff:]) != "inner" {
+			t.Fatalf("%s: inner packet at %d, %v", name, got.InnerOff, err)
+		}
+		if got.InnerOff = 0; got != want {
+			t.Errorf("%s: got %+v\nwant %+v", name, got, want)
+		}
 	}
 }
 
@@ -100,12 +93,10 @@
 		{"unknown critical option", withOption(1, 2, 0x83, 0), ErrCritical},
 		{"unknown other option", withOption(1, 2, 3, 1, 0, 0, 0, 0), nil},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			var h Header
-			if err := Read(c.b, &h); !errors.Is(err, c.want) {
-				t.Fatalf("got %v, want %v", err, c.want)
-			}
-		})
+		var h Header
+		if err := Read(c.b, &h); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
 	}
 }
 
--- a/wire/ip4/ip4_test.go
+++ b/wire/ip4/ip4_test.go
@@ -47,15 +47,10 @@
 		{"tcp with padding", append(wiretest.Packet(t, sent), 0, 0, 0), sent},
 		{"udp", wiretest.Packet(t, datagram), datagram},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			got := flow.Packet{Flags: flow.RST, Seq: 1, Ack: 1, PayloadLen: 1}
-			if r := Read(c.b, &got); r != group.ReasonNone {
-				t.Fatalf("dropped as %s", r)
-			}
-			if got != c.want {
-				t.Fatalf("got %+v, want %+v", got, c.want)
-			}
-		})
+		got := flow.Packet{Flags: flow.RST, Seq: 1, Ack: 1, PayloadLen: 1}
+		if r := Read(c.b, &got); r != group.ReasonNone || got != c.want {
+			t.Errorf("%s: got %+v, %q, want %+v", c.name, got, r, c.want)
+		}
 	}
 }
 
@@ -93,12 +88,10 @@
 		{"UDP length 7", patch(udp(), 24, 0, 7), ReasonHeader},
 		{"UDP length beyond data", patch(udp(), 24, 0, 11), ReasonShort},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			var p flow.Packet
-			if got := Read(c.b, &p); got != c.want {
-				t.Fatalf("got %q, want %q", got, c.want)
-			}
-		})
+		var p flow.Packet
+		if got := Read(c.b, &p); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
 	}
 }
 
@@ -151,30 +144,30 @@
 		if err := ip.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
 			t.Skip(err) // stricter about IP options
 		}
-		want := flow.Packet{Key: flow.Key{Proto: flow.Proto(ip.Protocol)}}
-		want.Key.Src, want.Key.Dst = addr(ip.SrcIP), addr(ip.DstIP)
+		want := flow.Packet{Key: flow.Key{Proto: flow.Proto(ip.Protocol), Src: addr(ip.SrcIP), Dst: addr(ip.DstIP)}}
+		var l gopacket.TransportLayer
 		switch ip.Protocol {
 		case layers.IPProtocolTCP:
-			var l layers.TCP
-			if err := l.DecodeFromBytes(ip.Payload, gopacket.NilDecodeFeedback); err != nil {
+			var tcp layers.TCP
+			if err := tcp.DecodeFromBytes(ip.Payload, gopacket.NilDecodeFeedback); err != nil {
 				t.Skip(err) // stricter about TCP options
 			}
-			want.Key.SrcPort, want.Key.DstPort = uint16(l.SrcPort), uint16(l.DstPort)
-			want.Seq, want.Ack, want.PayloadLen = l.Seq, l.Ack, uint16(len(l.Payload))
-			want.Flags = flow.Flags(ip.Payload[13])
-			if l.SYN != want.Flags.Has(flow.SYN) || l.RST != want.Flags.Has(flow.RST) || l.FIN != want.Flags.Has(flow.FIN) || l.ACK != want.Flags.Has(flow.ACK) {
-				t.Fatalf("flags %#x, decoder says %+v", want.Flags, l)
+			want.Seq, want.Ack, want.Flags, l = tcp.Seq, tcp.Ack, flow.Flags(ip.Payload[13]), &tcp
+			if f := got.Flags; tcp.SYN != f.Has(flow.SYN) || tcp.RST != f.Has(flow.RST) || tcp.FIN != f.Has(flow.FIN) || tcp.ACK != f.Has(flow.ACK) {
+				t.Fatalf("flags %#x, decoder says %+v", f, tcp)
 			}
 		case layers.IPProtocolUDP:
-			var l layers.UDP
-			if err := l.DecodeFromBytes(ip.Payload, gopacket.NilDecodeFeedback); err != nil {
+			var udp layers.UDP
+			if err := udp.DecodeFromBytes(ip.Payload, gopacket.NilDecodeFeedback); err != nil {
 				t.Fatal(err)
 			}
-			want.Key.SrcPort, want.Key.DstPort = uint16(l.SrcPort), uint16(l.DstPort)
-			want.PayloadLen = uint16(len(l.Payload))
+			l = &udp
 		default:
 			t.Fatalf("accepted protocol %s", ip.Protocol)
 		}
+		ports := l.TransportFlow()
+		want.Key.SrcPort, want.Key.DstPort = binary.BigEndian.Uint16(ports.Src().Raw()), binary.BigEndian.Uint16(ports.Dst().Raw())
+		want.PayloadLen = uint16(len(l.LayerPayload()))
 		if got != want {
 			t.Fatalf("got %+v, decoder says %+v", got, want)
 		}
