--- a/testkit/callers/load.go
+++ b/testkit/callers/load.go
@@ -21,6 +21,7 @@
 	Work   time.Duration // in the slot, 0 leaves it to the host
 	Retry  int           // times a refused request is tried again
 	Wait   time.Duration // longest wait for an answer or for an event
+	Ping   time.Duration // time between bytes that a feed's caller sends, 0 for none
 	Reopen bool          // a broken feed is opened again
 	Ports  int           // source ports to use, 0 for all
 }
@@ -69,6 +70,8 @@
 		l.Retry, err = strconv.Atoi(v)
 	case "wait":
 		l.Wait, err = time.ParseDuration(v)
+	case "ping":
+		l.Ping, err = time.ParseDuration(v)
 	case "reopen":
 		l.Reopen, err = strconv.ParseBool(v)
 	case "ports":
--- a/testkit/callers/pool.go
+++ b/testkit/callers/pool.go
@@ -35,7 +35,6 @@
 	net    *netstack.Net
 	addrs  []netip.Addr
 	serial atomic.Uint64
-	feeds  atomic.Int64
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
--- a/testkit/callers/request.go
+++ b/testkit/callers/request.go
@@ -148,8 +148,12 @@
 func (p *Pool) follow(ctx context.Context, c net.Conn, id string, l *Load, r *Result) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
-	p.feeds.Add(1)
-	defer p.feeds.Add(-1)
+	if l.Ping > 0 {
+		pings, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go ping(pings, c, l.Ping)
+	}
+	last := time.Now()
 	for ctx.Err() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(l.Wait))
 		if ctx.Err() != nil {
@@ -171,8 +175,33 @@
 			return
 		}
 		r.Events, r.Host = a.Event, a.Host
+		last = time.Now()
 	}
 	r.Outcome = Answered
+	if silent := time.Since(last); silent > stallLimit+l.Every {
+		r.Outcome, r.Err = Broken, fmt.Sprintf("feed: no event in the last %s", silent.Round(time.Millisecond))
+	}
+}
+
+// stallLimit is how long a feed may have been without an event at its end. It
+// allows for three lost packets in a row.
+const stallLimit = 3 * time.Second
+
+// ping sends bytes that the host ignores until the connection is closed, as
+// clients of a feed do to notice a dead connection.
+func ping(ctx context.Context, c net.Conn, every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if _, err := c.Write([]byte("ping")); err != nil {
+				return
+			}
+		}
+	}
 }
 
 func event(c net.Conn) (work.Answer, error) {
--- a/testkit/cmd/egrettack-testkit/callers.go
+++ b/testkit/cmd/egrettack-testkit/callers.go
@@ -19,7 +19,7 @@
 	Name      string        `long:"name" required:"true" description:"start of all request ids, unique among runs"`
 	Network   string        `long:"network" default:"10.64.0.1" description:"first caller address, unique among runs"`
 	Addresses int           `long:"addresses" default:"50"`
-	Loads     []string      `long:"load" required:"true" description:"PATH:rate=R,count=N,every=D,size=B,answer=B,work=D,retry=N,wait=D,reopen=B,ports=N"`
+	Loads     []string      `long:"load" required:"true" description:"PATH:rate=R,count=N,every=D,size=B,answer=B,work=D,retry=N,wait=D,ping=D,reopen=B,ports=N"`
 	Duration  time.Duration `long:"duration" default:"10s" description:"time in which requests are started"`
 	Seed      uint64        `long:"seed" default:"1"`
 	JSON      string        `long:"json" description:"file for the summary"`
--- a/testkit/hosts/host.go
+++ b/testkit/hosts/host.go
@@ -4,6 +4,7 @@
 package hosts
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -293,8 +294,7 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		var b [1]byte
-		_, _ = c.Read(b[:])
+		_, _ = io.Copy(io.Discard, c)
 	}()
 	for n := uint64(1); ; n++ {
 		if err := h.answer(c, req, work.Answer{Status: work.OK, Event: n}, nil); err != nil {
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -26,8 +26,8 @@
 	do       func(r *run, ts *testscript.TestScript, args []string) error
 }
 
-// Params returns the parameters of testscript for the scripts in dir.
-func Params(cfg Config, dir string) testscript.Params {
+// Params returns the parameters of testscript for some scripts.
+func Params(cfg Config, scripts []string) testscript.Params {
 	cmds := make(map[string]func(*testscript.TestScript, bool, []string))
 	for name, c := range commands() {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
@@ -44,7 +44,7 @@
 		}
 	}
 	return testscript.Params{
-		Dir: dir, Cmds: cmds, RequireUniqueNames: true,
+		Files: scripts, Cmds: cmds, RequireUniqueNames: true,
 		Setup: func(e *testscript.Env) error {
 			r := newRun(cfg, e.WorkDir)
 			e.Values[runKey{}] = r
--- a/testkit/scenario_test.go
+++ b/testkit/scenario_test.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, "scenarios")
+	scripts, err := filepath.Glob("scenarios/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, scripts)
 	if p.WorkdirRoot = os.Getenv("KEEP"); p.WorkdirRoot != "" {
 		// The logs of all processes stay in this directory.
 		p.TestWork = true
