--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"egrettack.example/core/group"
@@ -13,6 +14,9 @@
 const (
 	// pullPage is the number of entries in one page of a pull.
 	pullPage = 2000
+	// maxRedirects bounds the redirects on the last page of a pull. Those
+	// beyond it are learned again from the groups that hold the flows.
+	maxRedirects = 10000
 	// pullRetry is the time before a failed pull is tried again.
 	pullRetry = 200 * time.Millisecond
 	// pullTimeout frees a pull whose answer never came.
@@ -54,6 +58,7 @@
 		l.mu.Lock()
 		switch l.role {
 		case roleOwner:
+			l.lost = l.table.Epoch()
 			l.handOver(now, o.Claimant, true)
 			e.tracker.Unclaim(l.id)
 			changed = true
@@ -73,7 +78,7 @@
 // rivals notes peers whose claim does not hold against one of this instance's:
 // they hold flows that they placed meanwhile.
 func (e *Engine) rivals(now time.Duration, h *message.Heartbeat) {
-	for _, c := range h.Claims {
+	for _, c := range slices.Concat(h.Claims, h.Lost) {
 		l := e.local(c.Group)
 		if l == nil {
 			continue
@@ -81,7 +86,7 @@
 		l.mu.Lock()
 		if l.role == roleOwner && member.Holds(l.table.Epoch(), e.cfg.Self, c.Epoch, h.From) {
 			l.previous, l.keep = h.From, now+handedOverKeep
-			if l.pull.source != h.From {
+			if l.pull.source != h.From && l.merged[h.From] != c.Epoch {
 				l.pull = pull{source: h.From, merge: true, retry: now + pullRetry}
 			}
 		}
@@ -119,6 +124,8 @@
 		source = o.Previous
 	}
 	switch {
+	case source == 0 && o.MaxEpoch == 0 && e.tracker.Settling(now):
+		// Another instance may be about to claim it too.
 	case source != 0 && source != e.cfg.Self:
 		if l.role != rolePulling || l.pull.source != source {
 			l.role = rolePulling
@@ -202,6 +209,9 @@
 		return message.PullReply{}, fmt.Errorf("pull group %s for instance %d: the role here is %s", r.Group, r.From, l.role)
 	}
 	reply := l.table.Pull(now, r.Cursor, pullPage)
+	if reply.Done {
+		reply.Redirects = l.table.Redirects(now, maxRedirects)
+	}
 	if reply.Done && l.role == roleOwner {
 		l.handOver(now, r.From, false)
 		e.tracker.Unclaim(l.id)
@@ -247,6 +257,7 @@
 	l.table.Import(now, reply.Entries)
 	l.pull.cursor = reply.Next
 	if reply.Done {
+		l.merged[l.pull.source] = reply.Epoch
 		l.pull = pull{}
 	}
 }
@@ -276,6 +287,9 @@
 	if l.table != nil {
 		absorb(now, t, l.table)
 	}
+	for i := range reply.Redirects {
+		t.Learn(now, &reply.Redirects[i])
+	}
 	e.activate(now, l, t, p.source)
 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -57,6 +57,9 @@
 	State   State
 	Version snapshot.Version // in force at the sender
 	Claims  []Claim
+	// Lost lists claims that the sender has ended a moment ago because another
+	// one held against them. The flows placed under them are still with the sender.
+	Lost []Claim
 	// Foreign lists flows that the sender holds on hosts of groups that it
 	// does not own, so that the owners can count them.
 	Foreign []HostCount
@@ -141,7 +144,9 @@
 	Epoch   uint64
 	Base    []snapshot.HostID
 	Entries []Entry
-	Next    uint64
+	// Redirects are flows that other groups hold, on the last page.
+	Redirects []Learn
+	Next      uint64
 	// Done is true on the last page. From then on the replying instance no
 	// longer places flows of the group.
 	Done bool
