--- a/core/group/walk.go
+++ b/core/group/walk.go
@@ -37,14 +37,15 @@
 }
 
 // ForgetYoung removes the selected flows whose caller has not acknowledged the
-// host's SYN. An address has moved to another service, where
-// the SYN's retransmission may open the flow again.
+// host's SYN. An address has moved to another service, where the
+// SYN's retransmission may open the flow again.
 func (t *Table) ForgetYoung(now time.Duration, selected func(flow.Key) bool) {
 	var young []flow.Key
-	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) {
+	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) bool {
 		if e.State() == table.SynSeen && selected(e.Key()) {
 			young = append(young, e.Key())
 		}
+		return true
 	})
 	for _, k := range young {
 		t.remove(now, t.flows.Find(k))
