Let a kind in flood borrow free slots only

Cause: in the flood model (15 hosts of 2 slots and 4 queue places, floods of 10 times the capacity, kinds asking for 0.75 of their share) guaranteed kinds kept 100% of their goodput, but only 92% (photo and upload in a flood of tickets and lookups) got a place at the first try and their p99 rose from 60 to 390 ms by the retries: the waiting requests of the flood double the time that a place is held, so a guarantee in places was used up at a lower rate.

Change: a kind that was refused within the last 200 ms and is above its guarantee takes free slots only while another kind under its guarantee has demand. Ceilings are rounded up instead of admitting one more through a rounding error.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -48,7 +48,7 @@
 	share     float64
 	ceiling   float64
 	guarantee int // of the present capacity
-	limit     float64
+	limit     int // of places in use, from the ceiling
 	inUse     int
 	demand    time.Duration // of the last new demand
 	refused   time.Duration // of the last refusal for want of a place
@@ -103,12 +103,12 @@
 	for _, id := range c.listed {
 		k := &c.kinds[id]
 		p := float64(c.pools[k.occupies].capacity)
-		// The small addend keeps products such as 0.3 x 10 from being rounded down.
+		// The small addends undo the error of products such as 0.3 x 10.
 		k.guarantee = int(k.share*p + 1e-9)
 		if k.share > 0 {
 			k.guarantee = max(k.guarantee, 1)
 		}
-		k.limit = k.ceiling*p + 1e-9
+		k.limit = int(math.Ceil(k.ceiling*p - 1e-9))
 	}
 }
 
@@ -139,7 +139,7 @@
 	}
 	free := c.pools[k.occupies].free
 	switch {
-	case float64(k.inUse) >= k.limit && k.inUse >= k.guarantee:
+	case k.inUse >= max(k.limit, k.guarantee):
 		return Ceiling
 	case free <= 0:
 		return Full
@@ -153,6 +153,22 @@
 	return Admitted
 }
 
+// FloodsOthers reports whether kind id was refused a moment ago and one more
+// place would be borrowed, while another kind under its guarantee has demand.
+func (c *Control) FloodsOthers(now time.Duration, id snapshot.KindID) bool {
+	b := &c.kinds[id]
+	if b.inUse < b.guarantee || now-b.refused >= YieldFor {
+		return false
+	}
+	for _, other := range c.listed {
+		k := &c.kinds[other]
+		if other != id && k.occupies == b.occupies && k.inUse < k.guarantee && now-k.demand < ActiveFor {
+			return true
+		}
+	}
+	return false
+}
+
 // reserved sums the reserves of the other kinds of the resource.
 func (c *Control) reserved(now time.Duration, except snapshot.KindID, o snapshot.Occupancy) int {
 	sum := 0
--- a/core/group/place.go
+++ b/core/group/place.go
@@ -96,13 +96,32 @@
 	if h == nil {
 		return nil, ReasonConnections
 	}
-	if kind.Occupies == snapshot.OccupiesSlot && kind.Deadline > 0 && h.Wait(kind.Service) > kind.Deadline {
-		if note {
-			t.admit.Refused(now, kind.ID)
-		}
-		return nil, ReasonDeadline
+	reason := ReasonNone
+	if kind.Occupies == snapshot.OccupiesSlot {
+		reason = t.queues(now, kind, h)
+	}
+	if reason == ReasonNone {
+		return h, reason
+	}
+	if note {
+		t.admit.Refused(now, kind.ID)
+	}
+	return nil, reason
+}
+
+// queues tells why a request may not wait for a slot of the host. A kind in
+// flood that borrows takes free slots only: its waiting requests would make
+// those of the other kinds wait as long, and use up their guarantees.
+func (t *Table) queues(now time.Duration, kind *snapshot.Kind, h *place.Host) Reason {
+	wait := h.Wait(kind.Service)
+	switch {
+	case wait <= 0:
+	case kind.Deadline > 0 && wait > kind.Deadline:
+		return ReasonDeadline
+	case t.admit.FloodsOthers(now, kind.ID):
+		return ReasonNoSlot
 	}
-	return h, ReasonNone
+	return ReasonNone
 }
 
 func (t *Table) reason(refusal admit.Refusal, kind *snapshot.Kind) Reason {
