--- a/wire/geneve/geneve.go
+++ b/wire/geneve/geneve.go
@@ -112,6 +112,20 @@
 	return nil
 }
 
+// readRelay reads the body of the relay header, in network byte order:
+//
+//	0  hops
+//	1  what is asked (4 low bits), flags: 0x80 trace context present
+//	2  index of the group
+//	4  service that the sender saw the destination in
+//	8  version of the sender's snapshot
+//	16 asking instance, 0 if none
+//	20 service of the group
+//	24 domain of the group
+//	26 zero
+//	28 trace ID (16), span ID (8), trace flags (1), 3 zero bytes; if present
+//
+// Later releases may add to the end.
 func readRelay(b []byte, h *Header) error {
 	if h.Relayed || len(b) < relayLen {
 		return ErrOption
