--- a/core/group/walk.go
+++ b/core/group/walk.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egrettack.example/core/flow"
 	"egrettack.example/core/message"
 	"egrettack.example/core/table"
 )
@@ -13,10 +14,11 @@
 func (t *Table) Walk(
 	now time.Duration, cursor uint64, n int, visit func(message.Entry),
 ) (next uint64, more bool) {
-	return t.flows.Walk(cursor, n, func(e *table.Entry) {
+	return t.flows.Walk(cursor, n, func(e *table.Entry) bool {
 		if !e.Has(table.Redirected) && e.State() < table.Closing {
 			visit(t.export(now, e))
 		}
+		return true
 	})
 }
 
@@ -24,11 +26,28 @@
 // groups, as learn messages for the next owner.
 func (t *Table) Redirects(now time.Duration, n int) []message.Learn {
 	var out []message.Learn
-	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) {
-		if len(out) < n && e.Has(table.Redirected) && e.State() < table.Closing {
+	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) bool {
+		if e.Has(table.Redirected) && e.State() < table.Closing {
 			id := t.cfg.Group.ID
 			out = append(out, message.Learn{Group: id, Entry: t.export(now, e), HeldBy: e.Redirect(id.Service)})
 		}
+		return len(out) < n
 	})
 	return out
 }
+
+// ForgetYoung removes the selected flows whose caller has not acknowledged the
+// host's SYN. An address has moved to another service, where the
+// SYN's retransmission may open the flow again.
+func (t *Table) ForgetYoung(now time.Duration, selected func(flow.Key) bool) {
+	var young []flow.Key
+	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) bool {
+		if e.State() == table.SynSeen && selected(e.Key()) {
+			young = append(young, e.Key())
+		}
+		return true
+	})
+	for _, k := range young {
+		t.remove(now, t.flows.Find(k))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"egrettack.example/core/snapshot"
 	"egrettack.example/node/control"
 	"egrettack.example/node/dataplane"
+	"egrettack.example/node/journal"
 	"egrettack.example/node/metrics"
 	"egrettack.example/node/platform"
 	"egrettack.example/node/prober"
@@ -76,7 +78,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	n.platform = platform.New(platform.Config{URL: s.Platform, OnSnapshot: n.apply, Log: n.log})
+	n.platform = platform.New(platform.Config{
+		URL: s.Platform, OnSnapshot: n.apply, Log: n.log,
+		Fetch: n.peers.SnapshotSince, Domain: s.Domain, Peers: addresses(s.Peers),
+	})
 	n.watch()
 	if err := n.listen(); err != nil {
 		n.close()
@@ -85,6 +90,14 @@
 	return n, nil
 }
 
+func addresses(list []netip.AddrPort) []string {
+	out := make([]string, len(list))
+	for i, a := range list {
+		out[i] = a.String()
+	}
+	return out
+}
+
 func (n *Node) watch() {
 	n.metrics.WatchEngine(n.status)
 	stats := func(f func(platform.Stats) uint64) func() float64 {
@@ -232,5 +245,6 @@
 	group.Go(func() error { return plane.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx) })
 	group.Go(func() error { return probes.Run(ctx) })
+	group.Go(func() error { return journal.New(n.log).Run(ctx, n.status) })
 	return group.Wait()
 }
