Test limits, unfinished handshakes, moved hosts and the copy stream

Guards: deadlines by estimated wait, early spilling and its bound, the limits of the flow table and of redirects, refused SYNs that are repeated, SYNs to hosts that have gone, imported sequence numbers, hosts that change their group, flows that need no copy, copies of an earlier stream or epoch.

--- /dev/null
+++ b/core/group/limits_test.go
@@ -0,0 +1,255 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/message"
+	"egrettack.example/core/snapshot"
+)
+
+// Guards against requests that wait longer than their deadline allows.
+func TestDeadlineRefusesByEstimatedWait(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	f.queue = 40
+	f.kinds[1].Deadline, f.kinds[1].Service = 50*time.Millisecond, 10*time.Millisecond
+	tab := f.table(group.Config{})
+	admitted := 0
+	for n := range 40 {
+		d := tab.Packet(0, syn(lookup, n, 100))
+		if d.Verdict != group.Forward {
+			g.Expect(d.Reason).To(Equal(group.ReasonDeadline))
+			break
+		}
+		admitted++
+	}
+	// Two run; the k-th of those that wait expects k x 10 ms / 2 slots.
+	g.Expect(admitted).To(Equal(2 + 10))
+}
+
+// Guards against requests that queue while the second group may be free, and
+// against spilling without bound when all groups are busy.
+func TestEarlySpill(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	f.queue = 10
+	tab := f.table(group.Config{})
+	var spilled []int
+	for n := range 28 {
+		r := syn(lookup, n, 100)
+		r.SpillTo = second
+		if d := tab.Packet(0, r); d.Verdict == group.Redirect {
+			spilled = append(spilled, n)
+		}
+	}
+	// From four waiting on two slots of each host the wait is two times in a slot.
+	g.Expect(spilled).To(Equal([]int{10, 11, 12, 13}), "at most as many as the group has slots")
+	tab.Packet(0, request(lookup, 10, flow.FIN|flow.ACK, 101, 5001, 0))
+	r := syn(lookup, 99, 100)
+	r.SpillTo = second
+	g.Expect(tab.Packet(0, r).Verdict).To(Equal(group.Redirect), "one has come to its end")
+}
+
+// Guards against a flood that fills the table with redirects or entries.
+func TestTableLimits(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	f.max = 1
+	tab := f.table(group.Config{})
+	open(t, tab, 0, feed, 0)
+	redirects := 0
+	for n := 1; n < 3000; n++ {
+		r := syn(feed, n, 100)
+		r.SpillTo = second
+		if tab.Packet(0, r).Verdict == group.Redirect {
+			redirects++
+		}
+	}
+	g.Expect(redirects).To(Equal(1024))
+
+	f = defaultFleet(1)
+	tab = f.table(group.Config{MaxFlows: 3})
+	for n := range 3 {
+		open(t, tab, 0, feed, n)
+	}
+	g.Expect(tab.Packet(0, syn(feed, 3, 100))).To(And(
+		HaveField("Verdict", group.Refuse), HaveField("Reason", group.ReasonTableFull)))
+	g.Expect(tab.Packet(0, ask(ack(feed, 4, 100), group.AskDefault)).Verdict).To(Equal(group.Forward))
+	g.Expect(tab.Stats(0).Flows).To(Equal(3), "a flow of unknown origin is forwarded but not adopted")
+}
+
+// Guards against a refused caller's repeated SYNs keeping its kind active, so
+// that its reserve is held back from others without new demand.
+func TestRefusedRetransmissionIsNotDemand(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	f.slots, f.queue = 1, 3
+	f.kinds[1].Share, f.kinds[1].Ceiling, f.kinds[1].Deadline = 0.5, 0.5, 0
+	other := *f.kinds[1]
+	other.ID, other.Name, other.Class, other.Share, other.Ceiling = 4, "other", 1, 0, 1
+	f.kinds = append(f.kinds, &other)
+	tab := f.table(group.Config{})
+	for n := range 2 {
+		open(t, tab, 0, lookup, n)
+	}
+	refused := syn(lookup, 2, 100)
+	for s := range 12 {
+		g.Expect(tab.Packet(time.Duration(s)*time.Second, refused).Verdict).To(Equal(group.Refuse))
+	}
+	for n := range 2 {
+		tab.Packet(12*time.Second, request(lookup, n, flow.RST, 101, 0, 0))
+	}
+	admitted := 0
+	for n := range 5 {
+		r := syn(lookup, 50+n, 100)
+		r.Kind, r.Packet.Key.DstPort = 4, 7004
+		if tab.Packet(12*time.Second, r).Verdict == group.Forward {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(Equal(3), "of four places one is kept for the inactive kind")
+}
+
+// Guards against places that callers hold who never finish the handshake, and
+// against a late handshake that is not counted.
+func TestUnfinishedHandshake(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	tab.Packet(0, syn(lookup, 1, 100))
+	g.Expect(tab.Stats(0).Hosts[0].Slots).To(Equal(1))
+	tick := func(now time.Duration) {
+		for range 200 {
+			tab.Tick(now)
+		}
+	}
+	tick(11 * time.Second)
+	g.Expect(tab.Stats(0)).To(And(HaveField("Flows", 1), HaveField("Hosts", ConsistOf(HaveField("Slots", 0)))))
+	tab.Packet(12*time.Second, ack(lookup, 1, 100))
+	g.Expect(tab.Stats(0).Hosts[0].Slots).To(Equal(1))
+	tab.Packet(12*time.Second, syn(lookup, 2, 100))
+	tick(53 * time.Second)
+	g.Expect(tab.Stats(0).Flows).To(BeZero())
+}
+
+// Guards against an earlier SYN with a request in it (TCP fast open) being
+// answered by a reset, which would let the caller run the request again.
+func TestSYNToHostThatHasGoneIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	tab := f.table(group.Config{})
+	h := tab.Packet(0, syn(lookup, 1, 100)).Host
+	f.ids = []snapshot.HostID{3 - h}
+	s, gr := f.snapshot()
+	tab.Update(0, s, gr)
+	g.Expect(tab.Packet(time.Second, syn(lookup, 1, 100))).To(Equal(
+		group.Decision{Verdict: group.Drop, Reason: group.ReasonHostGone}))
+}
+
+// Guards against flows of another instance being reset as silent because
+// their sequence numbers are not known yet.
+func TestImportedFlowIsNotSilent(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	tab.Import(0, []message.Entry{{Key: key(feed, 1), Host: 1, Kind: feed, ISN: 100, Established: true, Age: time.Hour}})
+	open(t, tab, 0, feed, 2)
+	// The flow has sent 3 GB, so its numbers look older than its ISN.
+	for i := range 20 {
+		now := time.Duration(i) * time.Second
+		tab.Packet(now, request(feed, 2, flow.ACK, 101, 6000+uint32(i), 0))
+		seq := uint32(3<<30) + uint32(i)*50
+		g.Expect(tab.Packet(now, request(feed, 1, flow.ACK|flow.PSH, seq, 5001, 50)).Verdict).To(Equal(group.Forward))
+	}
+}
+
+// Guards against flows on hosts that moved to another group being reset, or
+// not being told to the owner of that group.
+func TestHostThatChangedItsGroup(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(4)
+	tab := f.table(group.Config{})
+	hosts := map[int]snapshot.HostID{}
+	held := uint32(0)
+	for n := range 12 {
+		if hosts[n] = open(t, tab, 0, feed, n); hosts[n] == 4 {
+			held++
+		}
+	}
+	s, gr := f.snapshot()
+	smaller := *gr
+	smaller.Hosts = gr.Hosts[:3]
+	tab.Update(0, s, &smaller)
+	for n, h := range hosts {
+		g.Expect(tab.Packet(0, ack(feed, n, 100))).To(And(HaveField("Verdict", group.Forward), HaveField("Host", h)))
+	}
+	g.Expect(tab.Held()).To(Equal([]message.HostCount{{Host: 4, Connections: held}}))
+	for n := 20; n < 40; n++ {
+		g.Expect(open(t, tab, 0, feed, n)).NotTo(Equal(snapshot.HostID(4)))
+	}
+}
+
+// Guards against short flows in the copy stream, and against copies for flows
+// that the backup finds by their default host.
+func TestOnlyOldFlowsOffTheirDefaultAreCopied(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(3)
+	tab := f.table(group.Config{})
+	tab.StartCopies(0)
+	def := f.table(group.Config{}) // tells default hosts
+	off, over := 0, 0
+	for n := range 60 {
+		h := open(t, tab, 0, feed, n)
+		if def.Packet(0, ask(ack(feed, n, 100), group.AskDefault)).Host == h {
+			continue
+		}
+		if over < 5 {
+			tab.Packet(time.Second, request(feed, n, flow.FIN|flow.ACK, 101, 5001, 0))
+			over++
+			continue
+		}
+		off++
+	}
+	count := func(now time.Duration) (n int) {
+		for b, ok := tab.NextCopies(now, 7); ok; b, ok = tab.NextCopies(now, 7) {
+			n += len(b.Entries)
+			tab.Acknowledge(ackOf(&b))
+		}
+		return n
+	}
+	g.Expect(off).To(BeNumerically(">", 0))
+	g.Expect(count(1900 * time.Millisecond)).To(BeZero())
+	g.Expect(count(3 * time.Second)).To(Equal(off))
+	g.Expect(count(time.Minute)).To(BeZero())
+}
+
+// Guards against copies of an earlier stream or epoch that outlive it.
+func TestCopiesFollowTheStream(t *testing.T) {
+	g := NewWithT(t)
+	entry := func(n int) []message.Entry { return []message.Entry{{Key: key(feed, n), Host: 2, Kind: feed}} }
+	c := group.NewCopies()
+	apply := func(epoch, seq uint64, n int) bool {
+		_, ok := c.Apply(0, &message.CopyBatch{Epoch: epoch, Seq: seq, Entries: entry(n), Base: []snapshot.HostID{snapshot.HostID(epoch)}})
+		return ok
+	}
+	g.Expect(apply(3, 2, 0)).To(BeFalse(), "the first batch is missing")
+	g.Expect(apply(3, 1, 1)).To(BeTrue())
+	g.Expect(apply(3, 3, 3)).To(BeFalse(), "a batch is missing")
+	g.Expect(apply(3, 2, 2)).To(BeTrue())
+	g.Expect(apply(3, 1, 9)).To(BeTrue(), "a repetition is confirmed")
+	g.Expect(c.Len()).To(Equal(2))
+	g.Expect(apply(2, 1, 4)).To(BeFalse(), "an older epoch")
+	g.Expect(apply(3, 1<<32|1, 5)).To(BeTrue(), "a new stream in the same epoch")
+	g.Expect(c.Len()).To(Equal(1))
+	g.Expect(apply(4, 1, 6)).To(BeTrue(), "a new epoch")
+	entries, base, epoch := c.Promote(time.Second)
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(entries[0].Age).To(Equal(time.Second))
+	g.Expect(base).To(Equal([]snapshot.HostID{4}))
+	g.Expect(epoch).To(Equal(uint64(4)))
+}
