--- a/core/group/limits_test.go
+++ b/core/group/limits_test.go
@@ -306,7 +306,7 @@
 		if ids[len(ids)-1] > 3 {
 			for range 10 { // nothing arrives
 				now += 100 * time.Millisecond
-				tab.NextCopies(now, 4)
+				tab.NextCopies(now, 100)
 			}
 			g.Expect(tab.BaseSettled()).To(BeFalse(), "the backup has confirmed nothing")
 		}
