--- a/core/group/handover.go
+++ b/core/group/handover.go
@@ -61,6 +61,10 @@
 	return reply
 }
 
+// Resume takes the group back after a handover whose next owner has died
+// before it claimed the group.
+func (t *Table) Resume() { t.pull = pull{} }
+
 // exportPulled gives the present state of a flow in the tail.
 func (t *Table) exportPulled(now time.Duration, p pulled) message.Entry {
 	if e := t.flows.Find(p.key); e != nil && !p.ended && e.ISN == p.isn && !e.Has(table.Redirected) {
--- a/core/group/helpers_test.go
+++ b/core/group/helpers_test.go
@@ -17,8 +17,6 @@
 	probe // UDP
 )
 
-var ports = map[snapshot.KindID]uint16{feed: 7001, lookup: 7002, probe: 7003}
-
 // kinds are the work of the service in most tests.
 func kinds() []*snapshot.Kind {
 	return []*snapshot.Kind{
@@ -93,7 +91,7 @@
 }
 
 func key(kind snapshot.KindID, n int) flow.Key {
-	k := flow.Key{Src: flow.Addr(0x0a000000 + n>>14), SrcPort: uint16(1024 + n&0x3fff), Dst: 0x0a090001, DstPort: ports[kind], Proto: flow.TCP}
+	k := flow.Key{Src: flow.Addr(0x0a000000 + n>>14), SrcPort: uint16(1024 + n&0x3fff), Dst: 0x0a090001, DstPort: 7000 + uint16(kind), Proto: flow.TCP}
 	if kind == probe {
 		k.Proto = flow.UDP
 	}
--- a/core/group/limits_test.go
+++ b/core/group/limits_test.go
@@ -344,4 +344,28 @@
 		}
 	}
 	g.Expect(tab.Pull(0, 0, 10)).To(And(HaveField("Base", old), HaveField("Done", true)))
+	g.Expect(tab.Packet(0, syn(feed, 1, 100))).To(And(
+		HaveField("Verdict", group.Miss), HaveField("Reason", group.ReasonHandover)))
+	tab.Resume()
+	open(t, tab, 0, feed, 1)
+}
+
+// Guards against an explanation that differs from the decision or changes it.
+func TestExplain(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	f.max = 1
+	tab := f.table(group.Config{})
+	for n := range 2 {
+		told := tab.Explain(0, key(feed, n), feed)
+		h := open(t, tab, 0, feed, n)
+		g.Expect(told).To(HaveSuffix("a new flow goes to host %d", h))
+		g.Expect(tab.Explain(0, key(feed, n), feed)).To(HavePrefix("entry on host %d: state=established", h))
+	}
+	g.Expect(tab.Explain(0, key(feed, 2), feed)).To(HaveSuffix("no room: no_slot (admission: ceiling, in use 2, guaranteed 1)"))
+	r := syn(feed, 2, 100)
+	r.SpillTo = second
+	tab.Packet(0, r)
+	g.Expect(tab.Explain(0, key(feed, 2), feed)).To(Equal("redirected to group 7.2.1"))
+	g.Expect(tab.Explain(0, key(feed, 3), 99)).To(Equal("no entry; kind 99 is not defined"))
 }
