--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -64,6 +64,7 @@
 
 	sender sender
 	dirty  bool
+	ranked []snapshot.InstanceID // eligible when the view was built, sorted
 	view   *View
 }
 
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -86,17 +86,24 @@
 		services: make(map[snapshot.ServiceID][]*Ownership, len(t.snap.Services)),
 	}
 	byDomain, all := t.eligible(v)
+	slices.Sort(all)
+	// Most changes are of claims and leave the rankings as they are.
+	var last *View
+	if t.view != nil && t.view.Snapshot == t.snap && slices.Equal(all, t.ranked) {
+		last = t.view
+	}
+	t.ranked = all
 	for id, svc := range t.snap.Services {
 		list := make([]*Ownership, len(svc.Groups))
 		for i, g := range svc.Groups {
-			list[i] = t.ownership(v, g.ID, g, byDomain[g.ID.Domain], all)
+			list[i] = t.ownership(v, last, g.ID, g, byDomain[g.ID.Domain], all)
 			v.Owners[g.ID] = list[i]
 		}
 		v.services[id] = list
 	}
 	for g, c := range t.claims {
 		if v.Owners[g] == nil && c.holder != 0 {
-			v.Owners[g] = t.ownership(v, g, nil, byDomain[g.Domain], all)
+			v.Owners[g] = t.ownership(v, last, g, nil, byDomain[g.Domain], all)
 		}
 	}
 	for _, o := range v.Owners {
@@ -144,11 +151,12 @@
 }
 
 func (t *Tracker) ownership(
-	v *View, id snapshot.GroupID, g *snapshot.Group, own, all []snapshot.InstanceID,
+	v, last *View, id snapshot.GroupID, g *snapshot.Group, own, all []snapshot.InstanceID,
 ) *Ownership {
 	o := &Ownership{ID: id, Group: g}
-	n := top(id, own, o.Ranked[:], nil)
-	if n < OwnerDepth {
+	if last != nil && last.Owners[id] != nil {
+		o.Ranked = last.Owners[id].Ranked
+	} else if n := top(id, own, o.Ranked[:], nil); n < OwnerDepth {
 		top(id, all, o.Ranked[n:], own)
 	}
 	if c := t.claims[id]; c != nil {
