--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -89,7 +89,7 @@
 	from := e.tracker.Newest(v.Snapshot.Version)
 	if from == nil {
 		// The peer that had it is gone; nobody can deliver it.
-		e.wanted.CompareAndSwap(e.wanted.Load(), uint64(v.Snapshot.Version))
+		e.wanted.Store(uint64(v.Snapshot.Version))
 		e.behind = 0
 		return out
 	}
