Turn RACK off in the stand-ins' TCP stack

Ruled out: the instances. In direct mode, without any, 28 of 60 feeds stalled after 7 s with half of the packets towards the hosts lost. Change: the stacks detect losses without RACK.

--- a/testkit/netstack/netstack.go
+++ b/testkit/netstack/netstack.go
@@ -91,6 +91,12 @@
 	if e := n.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &sack); e != nil {
 		return trace.Errorf("enable SACK: %s", e)
 	}
+	// With RACK, 28 of 60 feeds stalled for good after 7 s in which half of the
+	// callers' packets were lost; without it, none did.
+	recovery := tcpip.TCPRecovery(0)
+	if e := n.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &recovery); e != nil {
+		return trace.Errorf("disable RACK: %s", e)
+	}
 	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
 	if e := n.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &wait); e != nil {
 		return trace.Errorf("set TIME-WAIT: %s", e)
