--- a/testkit/callers/request.go
+++ b/testkit/callers/request.go
@@ -143,46 +143,55 @@
 
 var errEvents = errors.New("events missing or repeated")
 
-// follow reads a feed until ctx is over. It breaks when an event is missing or
-// repeated, or when none comes for Load.Wait.
+// follow reads a feed until ctx is over, and one event at least. The feed breaks
+// when an event is missing or repeated, or when none comes for Load.Wait.
 func (p *Pool) follow(ctx context.Context, c net.Conn, id string, l *Load, r *Result) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
-	defer stop()
 	if l.Ping > 0 {
 		pings, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go ping(pings, c, l.Ping)
 	}
+	if !next(c, id, l, r) {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
 	last := time.Now()
 	for ctx.Err() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(l.Wait))
-		if ctx.Err() != nil {
-			break
-		}
-		a, err := event(c)
-		if ctx.Err() != nil {
+		if !next(c, id, l, r) {
+			// The end of ctx shows as a time-out.
+			if ctx.Err() == nil || !strings.Contains(r.Err, "i/o timeout") {
+				return
+			}
 			break
 		}
-		if err == nil && a.Event != r.Events+1 {
-			err = trace.Wrap(errEvents, "event %d after %d", a.Event, r.Events)
-		}
-		if err == nil && a.ID != id {
-			r.Outcome, r.Err = Misrouted, "event of "+a.ID
-			return
-		}
-		if err != nil {
-			r.Outcome, r.Err = Broken, "feed: "+err.Error()
-			return
-		}
-		r.Events, r.Host = a.Event, a.Host
 		last = time.Now()
 	}
-	r.Outcome = Answered
+	r.Outcome, r.Err = Answered, ""
 	if silent := time.Since(last); silent > stallLimit+l.Every {
 		r.Outcome, r.Err = Broken, fmt.Sprintf("feed: no event in the last %s", silent.Round(time.Millisecond))
 	}
 }
 
+// next reads one event into r. It returns false when the feed is broken.
+func next(c net.Conn, id string, l *Load, r *Result) bool {
+	_ = c.SetReadDeadline(time.Now().Add(l.Wait))
+	a, err := event(c)
+	if err == nil && a.ID != id {
+		r.Outcome, r.Err = Misrouted, "event of "+a.ID
+		return false
+	}
+	if err == nil && a.Event != r.Events+1 {
+		err = trace.Wrap(errEvents, "event %d after %d", a.Event, r.Events)
+	}
+	if err != nil {
+		r.Outcome, r.Err = Broken, "feed: "+err.Error()
+		return false
+	}
+	r.Events, r.Host = a.Event, a.Host
+	return true
+}
+
 // stallLimit is how long a feed may have been without an event at its end. It
 // allows for three lost packets in a row.
 const stallLimit = 3 * time.Second
