Add benchmarks of many instances

Cause: the control cost of an instance, the platform calls, the spread of a configuration and the flows that changes break had no measurement.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,21 @@
 scenarios: build
 	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
 
+# Go benchmark format; the rows go to docs/BENCHMARKS.md. PART=local leaves the
+# benchmarks with daemons out.
+bench: build $(BIN)/benchstat
+	BIN=$(BIN) PART=$(PART) sh scripts/bench.sh | tee $(BIN)/bench.txt
+	sh scripts/bench_page.sh $(BIN)/bench.txt docs/BENCHMARKS.md
+
+# Each fuzz target for FUZZTIME.
+FUZZTIME ?= 1m
+fuzz:
+	@for t in settings/published wire/ip4 wire/control wire/geneve; do \
+		for f in $$(go test -list '^Fuzz' ./$$t | grep '^Fuzz'); do \
+			echo "$$t $$f"; \
+			go test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) ./$$t || exit 1; \
+		done; \
+	done
+
 clean:
 	rm -rf $(BIN)
