--- /dev/null
+++ b/core/group/known_test.go
@@ -0,0 +1,74 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/flow"
+	"egrettack.example/core/group"
+	"egrettack.example/core/snapshot"
+)
+
+// Guards against a refusal, in a full group, of a flow that was forwarded: the
+// host may be running its request.
+func TestFullGroupRefusesNoKnownFlow(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(2)
+	tab := f.table(group.Config{})
+	n := 0
+	for ; tab.Packet(0, syn(lookup, n, 100)).Verdict == group.Forward; n++ {
+	}
+	g.Expect(n).To(Equal(8))
+	for i := range n {
+		for _, r := range []*group.Request{
+			syn(lookup, i, 100),
+			ack(lookup, i, 100),
+			request(lookup, i, flow.ACK|flow.PSH, 101, 5001, 80),
+			syn(lookup, i, 100), // a late duplicate
+		} {
+			g.Expect(tab.Packet(time.Second, r)).To(HaveField("Verdict", group.Forward), "flow %d", i)
+		}
+		g.Expect(tab.Packet(time.Second, syn(lookup, n, 100))).To(HaveField("Verdict", group.Refuse))
+	}
+}
+
+// Guards against a base list that reaches the backup before the entries that
+// it does not imply: an owner that dies in between would lose them.
+func TestBaseListLags(t *testing.T) {
+	f := defaultFleet(3)
+	tab := f.table(group.Config{})
+	tab.StartCopies(0)
+	copies := group.NewCopies()
+	at := make(map[int]snapshot.HostID)
+	for n := range 60 {
+		at[n] = open(t, tab, 0, feed, n)
+	}
+	now := 3 * time.Second
+	step := func() bool {
+		b, ok := tab.NextCopies(now, 4)
+		if ok {
+			ack, _ := copies.Apply(now, &b)
+			tab.Acknowledge(ack)
+		}
+		return ok
+	}
+	for step() {
+	}
+	f.ids = append(f.ids, 4)
+	s, gr := f.snapshot()
+	tab.Update(now, s, gr)
+	for more := true; more; {
+		more = step()
+		entries, base, _ := copies.Promote(now)
+		next := f.table(group.Config{Epoch: 2, Base: base})
+		next.Import(now, entries)
+		for n, h := range at {
+			r := ask(ack(feed, n, 100), group.AskDefault)
+			if d := next.Packet(now, r); d.Verdict != group.Forward || d.Host != h {
+				t.Fatalf("flow %d on host %d is lost by the backup: %+v", n, h, d)
+			}
+		}
+	}
+}
--- a/testkit/cmd/egrettack-testkit/garbage.go
+++ b/testkit/cmd/egrettack-testkit/garbage.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -71,6 +72,14 @@
 	k := w.Kinds[rnd.IntN(len(w.Kinds))]
 	inner := random(rnd, 20+rnd.IntN(60))
 	inner[0], inner[9] = 0x45, 6
+	// Every second one passes the reader of IPv4 headers, so that forged relay
+	// headers and segments reach the decisions behind it.
+	valid := rnd.IntN(2) == 0
+	if valid && len(inner) >= 40 {
+		inner[2], inner[3] = 0, byte(len(inner))
+		inner[6], inner[7] = 0x40, 0
+		inner[32] = 0x50 | inner[32]&0x0f
+	}
 	dst := k.Address.Addr().As4()
 	copy(inner[16:], dst[:])
 	// An address outside all pools of callers.
@@ -80,19 +89,56 @@
 		// Never a SYN: a forged SYN is a new flow like any other.
 		inner[33] &^= 2
 	}
+	if valid {
+		seal(inner[:20])
+	}
 	d := geneve.Append(nil, rnd.Uint32()&0xffffff, inner)
 	if rnd.IntN(2) == 0 {
 		return d
 	}
-	words := rnd.IntN(8)
-	d[0] = byte(words)
-	out := append(append([]byte(nil), d[:8]...), random(rnd, words*4)...)
+	words := rnd.IntN(12)
+	option := random(rnd, words*4)
 	if words > 0 {
-		out[8], out[9], out[10] = 0xff, 0xf0, 1
+		option[0], option[1], option[2] = 0xff, 0xf0, 1
+	}
+	if valid {
+		option = relay(rnd, w)
 	}
+	d[0] = byte(len(option) / 4)
+	out := append(append([]byte(nil), d[:8]...), option...)
 	return append(out, d[8:]...)
 }
 
+// relay returns a well-formed relay header that names a group of any service,
+// with an older or far newer version than that in force.
+func relay(rnd *rand.Rand, w *world.World) []byte {
+	const body = 32
+	b := make([]byte, 4+body)
+	b[0], b[1], b[2], b[3] = 0xff, 0xf0, 1, body/4
+	v := b[4:]
+	v[0], v[1], v[3] = byte(rnd.IntN(6)), byte(rnd.IntN(4)), byte(rnd.IntN(2))
+	binary.BigEndian.PutUint32(v[4:], w.Kinds[rnd.IntN(len(w.Kinds))].Number)
+	binary.BigEndian.PutUint64(v[8:], rnd.Uint64()>>rnd.IntN(64))
+	binary.BigEndian.PutUint32(v[16:], uint32(rnd.IntN(8)))
+	binary.BigEndian.PutUint32(v[20:], w.Kinds[rnd.IntN(len(w.Kinds))].Number)
+	binary.BigEndian.PutUint16(v[24:], uint16(1+rnd.IntN(2)))
+	binary.BigEndian.PutUint32(v[28:], uint32(rnd.IntN(8)))
+	return b
+}
+
+// seal sets the checksum of an IPv4 header.
+func seal(h []byte) {
+	h[10], h[11] = 0, 0
+	var sum uint32
+	for i := 0; i < len(h); i += 2 {
+		sum += uint32(binary.BigEndian.Uint16(h[i:]))
+	}
+	for sum > 0xffff {
+		sum = sum>>16 + sum&0xffff
+	}
+	binary.BigEndian.PutUint16(h[10:], ^uint16(sum))
+}
+
 func (c *garbageCommand) stream(to netip.AddrPort, rnd *rand.Rand) error {
 	for range 20 {
 		conn, err := net.DialTimeout("tcp4", to.String(), time.Second)
--- a/testkit/platform/server.go
+++ b/testkit/platform/server.go
@@ -25,7 +25,9 @@
 type Fault struct {
 	Down     bool   `json:"down"`
 	Revision uint64 `json:"revision"` // serve this older revision, 0 for the newest
-	DelayMS  int    `json:"delay_ms"`
+	// Rewind answers readers that are ahead of Revision at once.
+	Rewind  bool `json:"rewind"`
+	DelayMS int  `json:"delay_ms"`
 }
 
 // Calls counts the calls of readers.
@@ -175,6 +177,7 @@
 	if f.DelayMS < 0 {
 		return trace.BadParameter("delay_ms is negative")
 	}
+	s.store.Rewind(f.Rewind)
 	if err := s.store.Show(f.Revision); err != nil {
 		return err
 	}
--- a/testkit/platform/store.go
+++ b/testkit/platform/store.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	history []map[string]string // index is the revision
 	shown   uint64              // revision served, less than the newest when stale
+	rewind  bool                // answer readers that are ahead of shown
 	changed chan struct{}       // closed when shown changes
 }
 
@@ -83,6 +84,14 @@
 	s.changed = make(chan struct{})
 }
 
+// Rewind makes a stale store answer readers that are ahead of it at once, with
+// all values of the revision served, as a platform restored from a backup does.
+func (s *Store) Rewind(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rewind = on
+}
+
 // Value returns one value of the served revision.
 func (s *Store) Value(key string) (string, uint64, bool) {
 	s.mu.Lock()
@@ -99,6 +108,9 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if s.rewind && after > s.shown {
+			after, wait = 0, 0
+		}
 		tree, changed := s.since(after), s.changed
 		s.mu.Unlock()
 		if tree.Revision > after || wait <= 0 {
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -82,6 +82,8 @@
 		"call":    {"NAME DURATION LOAD...", 3, -1, makeCall},
 		"expect":  {"CALL [CONDITION...]", 1, -1, expect},
 		"quiet":   {"HOST...", 1, -1, func(r *run, _ *testscript.TestScript, a []string) error { return r.quiet(a) }},
+		"mark":    {"HOST...", 1, -1, func(r *run, _ *testscript.TestScript, a []string) error { return r.mark(a) }},
+		"unused":  {"HOST...", 1, -1, func(r *run, _ *testscript.TestScript, a []string) error { return r.unused(a) }},
 		"used":    {"HOST...", 1, -1, each((*run).used)},
 		"inforce": {"", 0, 0, inForce},
 		"holds":   {"REVISION", 1, 1, holdsRevision},
--- a/testkit/scenario/observe.go
+++ b/testkit/scenario/observe.go
@@ -126,22 +126,34 @@
 // quiet checks that leaving hosts get no new work after the bound.
 func (r *run) quiet(names []string) error {
 	time.Sleep(leavingBound)
-	before := make(map[string]uint64)
+	if err := r.mark(names); err != nil {
+		return err
+	}
+	time.Sleep(quietWindow)
+	return r.unused(names)
+}
+
+// mark notes how many connections hosts have got so far.
+func (r *run) mark(names []string) error {
 	for _, n := range names {
 		s, err := r.hostStats(n)
 		if err != nil {
 			return err
 		}
-		before[n] = s.Accepted
+		r.marks[n] = s.Accepted
 	}
-	time.Sleep(quietWindow)
+	return nil
+}
+
+// unused checks that hosts got no connection since they were marked.
+func (r *run) unused(names []string) error {
 	var bad []string
 	for _, n := range names {
 		s, err := r.hostStats(n)
 		if err != nil {
 			return err
 		}
-		if s.Accepted != before[n] {
+		if s.Accepted != r.marks[n] {
 			bad = append(bad, n)
 		}
 	}
--- a/testkit/scenario/run.go
+++ b/testkit/scenario/run.go
@@ -46,10 +46,12 @@
 	processes map[string]*process
 	calls     map[string]*call
 	networks  byte // of callers, so far
+	// marks are the connections that hosts had got when they were marked.
+	marks map[string]uint64
 }
 
 func newRun(cfg Config, dir string) *run {
-	return &run{cfg: cfg, dir: dir, processes: make(map[string]*process), calls: make(map[string]*call)}
+	return &run{cfg: cfg, dir: dir, processes: make(map[string]*process), calls: make(map[string]*call), marks: make(map[string]uint64)}
 }
 
 func (r *run) kit() string       { return filepath.Join(r.cfg.Bin, "egrettack-testkit") }
