Check that epochs rise with each owner

Cause: a mutation that claims with the predecessor's epoch survived. Change: the random runs of planned changes compare the epochs before and after.

--- a/core/engine/state_test.go
+++ b/core/engine/state_test.go
@@ -246,14 +246,21 @@
 	w.checkOwners()
 }
 
-// checkOwners: each group of a domain with an instance has exactly one owner.
+// checkOwners: each group has exactly one owner, and its epoch has risen since
+// the last check if the owner has changed.
 func (w *world) checkOwners() {
 	owners := make(map[snapshot.GroupID][]snapshot.InstanceID)
 	for _, n := range w.live() {
 		for _, g := range n.engine.Status(n.time()).Groups {
-			if g.Role == "owner" {
-				owners[g.Group] = append(owners[g.Group], n.id)
+			if g.Role != "owner" {
+				continue
 			}
+			owners[g.Group] = append(owners[g.Group], n.id)
+			last := w.claims[g.Group]
+			if last.owner != 0 && last.owner != n.id && g.Epoch <= last.epoch {
+				w.t.Fatalf("group %s passed from %d to %d with epoch %d after %d", g.Group, last.owner, n.id, g.Epoch, last.epoch)
+			}
+			w.claims[g.Group] = held{n.id, g.Epoch}
 		}
 	}
 	for _, n := range w.live() {
@@ -290,6 +297,8 @@
 		// Three segments of a flow lost in a row would make it silent, for
 		// which the design resets it.
 		w.loss = losses{data: 0.001, control: 0.03}
+		w.run(4 * time.Second)
+		w.checkOwners()
 		w.play(drawSteps(t, planned, 8))
 		w.calm()
 		for _, c := range w.all {
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -36,6 +36,7 @@
 	nextHost  snapshot.HostID
 	nextPort  uint16
 
+	claims    map[snapshot.GroupID]held // as seen by the last check
 	accepted  map[request][]snapshot.HostID
 	refused   map[request]bool
 	verdicts  map[string]int
@@ -52,6 +53,12 @@
 	on      *snapshot.Snapshot
 }
 
+// held is a claim that an instance holds.
+type held struct {
+	owner snapshot.InstanceID
+	epoch uint64
+}
+
 // losses are the parts of datagrams that are lost.
 type losses struct{ data, control float64 }
 
@@ -107,7 +114,7 @@
 		cut:       make(map[[2]snapshot.DomainID]bool), noList: make(map[snapshot.DomainID]bool),
 		accepted: make(map[request][]snapshot.HostID), refused: make(map[request]bool),
 		verdicts: make(map[string]int), fromHosts: make(map[snapshot.ServiceID]int),
-		nextPort: 1000,
+		nextPort: 1000, claims: make(map[snapshot.GroupID]held),
 	}
 	w.input = in
 	w.published[in.Version] = in
