Do not end flows on a guess

Cause: an acknowledgement of one byte after the caller's FIN was taken for that of the host's FIN, so that the entry lapsed after two seconds although the rest of an answer might follow; and any RST ended a flow, forged ones included, which the host ignores. A feed at another than its default host would then go to the wrong host, which resets it.

A RST counts when its sequence number is within 1 MB of what the caller has sent.

--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -18,6 +18,10 @@
 	// must be later than the last progress of the silent one, so that a host
 	// that stalls as a whole for a moment resets nobody.
 	silentMargin = time.Second
+	// resetWindow is by how much the sequence number of a reset may differ
+	// from the highest that the caller has sent. It is about the largest
+	// window in use; a forged reset passes once in 2,000 times.
+	resetWindow = 1 << 20
 	// newFor is the age up to which a flow that stalls counts as a failed new flow.
 	newFor = 2 * time.Second
 )
@@ -37,6 +41,9 @@
 		t.observeSYN(now, e, p)
 		return false
 	case p.Flags.Has(flow.RST):
+		if !plausible(e, p.Seq) {
+			return false
+		}
 		t.end(now, e)
 		e.SetState(table.Closed)
 		t.notePulled(e, false)
@@ -53,6 +60,13 @@
 	return t.observeData(now, e, p)
 }
 
+// plausible reports whether a sequence number can be of the caller. A forged
+// reset, which the host ignores, must not end the flow here.
+func plausible(e *table.Entry, seq uint32) bool {
+	d := int32(seq - e.Seq)
+	return e.Retransmissions == table.Unsynced || e.Has(table.Reopened) || -resetWindow < d && d < resetWindow
+}
+
 // observeSYN counts a retransmitted SYN as a failure of its host, once a flow.
 func (t *Table) observeSYN(now time.Duration, e *table.Entry, p *flow.Packet) {
 	if p.Seq != e.ISN {
@@ -92,10 +106,6 @@
 	case !synced:
 		return
 	case after(p.Ack, e.Ack):
-		// The caller acknowledges the host's FIN after its own.
-		if e.State() == table.Closing && p.Ack == e.Ack+1 && p.PayloadLen == 0 && !p.Flags.Has(flow.FIN) {
-			e.SetState(table.Closed)
-		}
 		e.Ack = p.Ack
 		if h := t.hosts.Find(e.Host()); h != nil {
 			t.hosts.Advanced(now, h)
--- a/core/group/packet_test.go
+++ b/core/group/packet_test.go
@@ -50,6 +50,18 @@
 	g.Expect(d.Reset).To(Equal(flow.Reset{Key: key(lookup, 1), Ack: 7778, WithAck: true}))
 }
 
+// Guards against a forged reset, which the host ignores, ending a flow here.
+func TestForgedResetIsForwardedOnly(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	open(t, tab, 0, feed, 1)
+	tab.Packet(0, request(feed, 1, flow.RST, 0x7fff0000, 0, 0))
+	g.Expect(tab.Stats(0).Hosts[0].Connections).To(Equal(1))
+	tab.Packet(0, request(feed, 1, flow.RST, 101, 0, 0))
+	g.Expect(tab.Stats(0).Hosts[0].Connections).To(BeZero())
+}
+
 // Guards against a second placement of a flow that was spilled.
 func TestSpillOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/core/table/entry.go
+++ b/core/table/entry.go
@@ -18,7 +18,8 @@
 	Established
 	// Closing: the caller has sent a FIN.
 	Closing
-	// Closed: the caller has sent a RST, or acknowledged the host's FIN after its own.
+	// Closed: the caller has sent a RST. A FIN of the host is never seen, and
+	// an acknowledgement of it looks like that of one byte of an answer.
 	Closed
 )
 
