Spend less on counting and on the default host of a new flow

Cause: a new feed derived the room of both resources and hashed its key twice more for its default host.

Change: the room of the slots is derived for slot kinds only; the default host comes from the hash of the flow table. All instances compute it alike.

--- a/core/group/base.go
+++ b/core/group/base.go
@@ -5,18 +5,19 @@
 
 	"egrettack.example/core/flow"
 	"egrettack.example/core/snapshot"
+	"egrettack.example/core/table"
 )
 
 const seedDefaultHost uint64 = 0x64656661756c74
 
 // defaultHost is the hashed host of a flow among a base list: the one with the
 // highest hash, which is rendezvous hashing with equal weights. A host that
-// leaves the list moves only its own flows.
+// leaves the list moves only its own flows. All instances compute it alike.
 func defaultHost(k flow.Key, list []snapshot.HostID) (snapshot.HostID, bool) {
 	if len(list) == 0 {
 		return 0, false
 	}
-	best, most, h := list[0], uint64(0), k.Hash(seedDefaultHost)
+	best, most, h := list[0], uint64(0), uint64(table.HashOf(k))^seedDefaultHost
 	for _, id := range list {
 		if x := mix(h ^ mix(uint64(id))); x > most {
 			best, most = id, x
@@ -25,8 +26,8 @@
 	return best, true
 }
 
-// mix is the finalizer of splitmix64. The key is hashed once with xxhash;
-// hashing it again for each host would take most of the time of a new flow.
+// mix is the finalizer of splitmix64. Hashing the whole key again for each
+// host would take most of the time of a new flow.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/core/group/place.go
+++ b/core/group/place.go
@@ -194,8 +194,7 @@
 	}
 	h.Start(now, e.Kind, slot)
 	if h.Usable() {
-		t.admit.Add(e.Kind, 1)
-		t.setRoom()
+		t.countUse(e.Kind, 1, slot)
 	}
 }
 
@@ -212,8 +211,7 @@
 	}
 	h.End(now, e.Kind, slot)
 	if h.Usable() {
-		t.admit.Add(e.Kind, -1)
-		t.setRoom()
+		t.countUse(e.Kind, -1, slot)
 	}
 }
 
--- a/core/group/table.go
+++ b/core/group/table.go
@@ -103,10 +103,22 @@
 
 // setRoom tells admission the capacity of the usable hosts and what is free of it.
 func (t *Table) setRoom() {
-	for _, o := range [...]snapshot.Occupancy{snapshot.OccupiesConnection, snapshot.OccupiesSlot} {
-		capacity, free := t.hosts.Capacity(o)
-		t.admit.SetCapacity(o, capacity)
-		t.admit.SetFree(o, free)
+	t.setRoomOf(snapshot.OccupiesConnection)
+	t.setRoomOf(snapshot.OccupiesSlot)
+}
+
+func (t *Table) setRoomOf(o snapshot.Occupancy) {
+	capacity, free := t.hosts.Capacity(o)
+	t.admit.SetCapacity(o, capacity)
+	t.admit.SetFree(o, free)
+}
+
+// countUse notes a flow that began or ended on a usable host.
+func (t *Table) countUse(k snapshot.KindID, n int, slot bool) {
+	t.admit.Add(k, n)
+	t.setRoomOf(snapshot.OccupiesConnection)
+	if slot {
+		t.setRoomOf(snapshot.OccupiesSlot)
 	}
 }
 
