Estimate the time in a slot from answered requests only

Cause: the estimate was the time that slots are busy over the requests that ended. A caller that vanishes keeps a slot busy for the kind's idle time, for example 30 s; on a quiet host that raised the estimate to seconds, so that requests were refused by their deadline on an idle fleet.

Change: a request that its caller closes gives the time since its SYN, reduced by the share of the slots that it had; flows that end by idle time give none.

--- a/core/group/expire.go
+++ b/core/group/expire.go
@@ -68,7 +68,7 @@
 		return false
 	case e.State() == table.SynSeen:
 		if t.gone(e.Host()) || e.Active.Since(stamp) > synIdle {
-			t.end(now, e)
+			t.end(e)
 		}
 		return false
 	case t.gone(e.Host()), t.silent(now, e):
@@ -76,7 +76,7 @@
 	default:
 		return false
 	}
-	t.drop(now, e)
+	t.drop(e)
 	return true
 }
 
--- a/core/group/handover.go
+++ b/core/group/handover.go
@@ -89,10 +89,10 @@
 		switch {
 		case m.Ended:
 			if e != nil && e.ISN == m.ISN {
-				t.remove(now, e)
+				t.remove(e)
 			}
 		case e != nil && m.Closing && e.ISN == m.ISN && e.State() < table.Closing:
-			t.end(now, e)
+			t.end(e)
 			e.SetState(table.Closing)
 		case e == nil:
 			if t.flows.Len() < t.cfg.MaxFlows {
--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -44,7 +44,7 @@
 		if !plausible(e, p.Seq) {
 			return false
 		}
-		t.end(now, e)
+		t.end(e)
 		e.SetState(table.Closed)
 		t.notePulled(e, false)
 		return false
@@ -53,7 +53,7 @@
 		t.observeACK(now, e, p)
 	}
 	if p.Flags.Has(flow.FIN) && e.State() < table.Closing {
-		t.end(now, e)
+		t.finish(now, e)
 		e.SetState(table.Closing)
 		t.notePulled(e, false)
 	}
@@ -94,7 +94,7 @@
 	case e.State() == table.SynSeen:
 		e.SetState(table.Established)
 		if !e.Has(table.Counted) {
-			t.count(now, e)
+			t.count(e)
 		}
 		if h := t.hosts.Find(e.Host()); h != nil {
 			t.hosts.Accepted(now, h)
--- a/core/group/packet.go
+++ b/core/group/packet.go
@@ -18,7 +18,7 @@
 			t.known(now, e, r, &d)
 			return d
 		}
-		t.remove(now, e)
+		t.remove(e)
 	}
 	return t.unknown(now, r, hash)
 }
@@ -52,7 +52,7 @@
 			return
 		}
 		if t.observe(now, e, r.Packet) {
-			t.remove(now, e)
+			t.remove(e)
 			*d = Decision{Verdict: Abort, Reason: ReasonSilent, Reset: flow.Abort(r.Packet)}
 			return
 		}
@@ -69,10 +69,10 @@
 	d := Decision{Verdict: Drop, Reason: ReasonHostGone}
 	switch {
 	case !p.Opens() && p.Flags.Has(flow.RST):
-		t.remove(now, e)
+		t.remove(e)
 	case !p.Opens():
 		d.Verdict, d.Reset = Abort, flow.Abort(p)
-		t.remove(now, e)
+		t.remove(e)
 	}
 	return d
 }
--- a/core/group/place.go
+++ b/core/group/place.go
@@ -154,7 +154,7 @@
 	e := t.flows.Add(hash, m.Key)
 	t.fill(now, e, &m)
 	e.SetHost(m.Host)
-	t.count(now, e)
+	t.count(e)
 	t.queueCopy(now, e)
 	t.notePulled(e, false)
 	return e
@@ -174,7 +174,7 @@
 }
 
 // count counts a flow on its host. A host that has left the group is kept for that.
-func (t *Table) count(now time.Duration, e *table.Entry) {
+func (t *Table) count(e *table.Entry) {
 	if e.State() >= table.Closing {
 		return
 	}
@@ -192,14 +192,14 @@
 	if slot {
 		e.Mark(table.Slot)
 	}
-	h.Start(now, e.Kind, slot)
+	h.Start(e.Kind, slot)
 	if h.Usable() {
 		t.countUse(e.Kind, 1, slot)
 	}
 }
 
 // end stops counting a flow on its host.
-func (t *Table) end(now time.Duration, e *table.Entry) {
+func (t *Table) end(e *table.Entry) {
 	if !e.Has(table.Counted) {
 		return
 	}
@@ -209,7 +209,7 @@
 	if h == nil {
 		return
 	}
-	h.End(now, e.Kind, slot)
+	h.End(e.Kind, slot)
 	if h.Usable() {
 		t.countUse(e.Kind, -1, slot)
 	}
@@ -226,16 +226,26 @@
 	}
 }
 
+// finish ends a flow whose caller has closed it.
+func (t *Table) finish(now time.Duration, e *table.Entry) {
+	if e.Has(table.Slot) && e.State() == table.Established {
+		if h := t.hosts.Find(e.Host()); h != nil {
+			h.Answered(e.Born.Since(table.StampOf(now)))
+		}
+	}
+	t.end(e)
+}
+
 // remove ends a flow and takes its entry out of the table.
-func (t *Table) remove(now time.Duration, e *table.Entry) {
-	t.drop(now, e)
+func (t *Table) remove(e *table.Entry) {
+	t.drop(e)
 	t.flows.Delete(e.Key())
 }
 
 // drop does what the end of an entry needs but for taking it out of the table.
-func (t *Table) drop(now time.Duration, e *table.Entry) {
+func (t *Table) drop(e *table.Entry) {
 	t.countRedirect(e, -1)
-	t.end(now, e)
+	t.end(e)
 	t.queueEnd(e)
 	t.notePulled(e, true)
 }
--- a/core/place/host.go
+++ b/core/place/host.go
@@ -78,9 +78,8 @@
 
 	pace float64 // below 1 when requests take longer than elsewhere
 
-	busy      time.Duration // time in slots of the remembered requests
-	done      float64       // number of these
-	busySince time.Duration
+	meanSlot float64 // mean time in a slot, ns
+	answered float64 // requests in that mean, at most estimateWeight
 }
 
 func (h *Host) slots() int { return max(h.Slots, 1) }
@@ -155,45 +154,40 @@
 	return w
 }
 
-// account adds the time that slots were busy since the last change.
-func (h *Host) account(now time.Duration) {
-	if n := min(h.InProgress, h.slots()); n > 0 {
-		h.busy += time.Duration(n) * (now - h.busySince)
-	}
-	h.busySince = now
-}
-
 // Start counts a new flow.
-func (h *Host) Start(now time.Duration, k snapshot.KindID, slot bool) {
+func (h *Host) Start(k snapshot.KindID, slot bool) {
 	h.Connections++
 	h.Use[k]++
 	if slot {
-		h.account(now)
 		h.InProgress++
 	}
 }
 
 // End counts the end of a flow.
-func (h *Host) End(now time.Duration, k snapshot.KindID, slot bool) {
+func (h *Host) End(k snapshot.KindID, slot bool) {
 	h.Connections--
 	h.Use[k]--
-	if !slot {
-		return
+	if slot {
+		h.InProgress--
 	}
-	h.account(now)
-	h.InProgress--
-	h.done++
-	if h.done > estimateWeight {
-		h.busy = time.Duration(float64(h.busy) * estimateWeight / h.done)
-		h.done = estimateWeight
+}
+
+// Answered learns from a request that has come to its end, before End, how
+// long requests take of a slot. While n requests share the slots, each takes
+// n/slots times as long as alone. Flows that end by idle time are left out:
+// their callers may have been gone for most of it.
+func (h *Host) Answered(took time.Duration) {
+	if n := h.Slotted(); n > h.slots() {
+		took = took * time.Duration(h.slots()) / time.Duration(n)
 	}
+	h.answered = min(h.answered+1, estimateWeight)
+	h.meanSlot += (float64(took) - h.meanSlot) / h.answered
 }
 
-// TimeInSlot estimates the mean time that a request takes of a slot: the time
-// that slots were busy over the requests that ended meanwhile. expected counts
-// like one request, so that a host starts from the configured value.
+// TimeInSlot estimates the mean time that a request takes of a slot. expected
+// counts like one request, so that a host starts from the configured value.
 func (h *Host) TimeInSlot(expected time.Duration) time.Duration {
-	return time.Duration(float64(h.busy+expected) / (h.done + 1))
+	return time.Duration((h.meanSlot*h.answered + float64(expected)) / (h.answered + 1))
 }
 
 // Wait estimates how long a new request waits for a slot.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -220,7 +220,7 @@
 func (s *Set) comparePaces() {
 	s.paces = s.paces[:0]
 	for _, h := range s.hosts {
-		if h.Usable() && h.done >= estimateWeight {
+		if h.Usable() && h.answered >= estimateWeight {
 			s.paces = append(s.paces, h.TimeInSlot(0))
 		}
 	}
@@ -231,7 +231,7 @@
 	median := s.paces[(len(s.paces)-1)/2]
 	for _, h := range s.hosts {
 		h.pace = 1
-		if t := h.TimeInSlot(0); h.done >= estimateWeight && float64(t) > slowPace*float64(median) {
+		if t := h.TimeInSlot(0); h.answered >= estimateWeight && float64(t) > slowPace*float64(median) {
 			h.pace = float64(median) / float64(t)
 		}
 	}
