--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -23,7 +23,9 @@
 	bench ./node/dataplane . 0.3s
 	bench ./node/platform . 1x
 	bench ./settings/published . 0.5s
-	bench ./testkit/bench 'Imbalance|Flood|Change' 2x
+	bench ./testkit/bench 'Imbalance|Flood|^BenchmarkChange' 2x
+	bench ./testkit/bench FlowState 1x
+	bench ./testkit/bench ViewChange 0.3s
 fi
 if [ "$part" != local ]; then
 	BIN=$bin
--- a/testkit/bench/cluster.go
+++ b/testkit/bench/cluster.go
@@ -280,7 +280,7 @@
 		if err != nil {
 			return trace.Wrap(err, "open log of %s", i.Name)
 		}
-		cmd := exec.Command(filepath.Join(c.spec.Bin, "egrettack"), "--pprof", "--settings", i.Settings)
+		cmd := exec.Command(filepath.Join(c.spec.Bin, "egrettack"), "--settings", i.Settings)
 		cmd.Stdout, cmd.Stderr = log, log
 		// No daemon outlives a benchmark that is killed.
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/testkit/bench/lab.go
+++ b/testkit/bench/lab.go
@@ -26,6 +26,9 @@
 	// Route decides on a packet that the fabric brings to a node; the engines
 	// decide when it is nil.
 	Route func(n *Node, p *flow.Packet) Result
+	// CopyBytes is the estimated size on the wire of the copies sent, and
+	// CopyEntries the number of entries in them.
+	CopyBytes, CopyEntries int
 
 	queue events
 	seq   int
@@ -230,6 +233,8 @@
 	case o.Learn != nil:
 		n.send(to, func() { to.Engine.Learn(to.now(), o.Learn) })
 	case o.Copies != nil && !n.lab.NoCopies:
+		n.lab.CopyBytes += engine.CopySize(o.Copies)
+		n.lab.CopyEntries += len(o.Copies.Entries)
 		n.send(to, func() { to.copies(n, o.Copies) })
 	case o.Pull != nil:
 		n.send(to, func() {
