--- a/core/engine/stale_test.go
+++ b/core/engine/stale_test.go
@@ -145,6 +145,9 @@
 		t.Errorf("from an instance that knows of the move: %+v", a)
 	}
 	e.SetSnapshot(now, after)
+	if n := e.local(snapshot.GroupID{Service: 1, Domain: 1}).table.Stats(now).Flows; n != 0 {
+		t.Errorf("%d flows without an answer stay in the service that the address has left", n)
+	}
 	if a := relayed(1002, 1, 1); a.Verdict != ToHost || a.Host.Service != 2 {
 		t.Errorf("from an instance that does not know of the move: %+v", a)
 	}
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -86,7 +86,7 @@
 		"unused":  {"HOST...", 1, -1, func(r *run, _ *testscript.TestScript, a []string) error { return r.unused(a) }},
 		"used":    {"HOST...", 1, -1, each((*run).used)},
 		"inforce": {"", 0, 0, inForce},
-		"holds":   {"REVISION", 1, 1, holdsRevision},
+		"holds":   {"REVISION [DURATION]", 1, 2, holdsRevision},
 		"reaches": {"REVISION", 1, 1, reachesRevision},
 		"clean":   {"", 0, 0, func(r *run, _ *testscript.TestScript, _ []string) error { return r.clean() }},
 		"polls":   {"LIMIT", 1, 1, polls},
@@ -223,12 +223,24 @@
 	return err
 }
 
+// holdsRevision checks that no live instance has an older revision in force,
+// with a duration all that time.
 func holdsRevision(r *run, _ *testscript.TestScript, a []string) error {
 	want, err := strconv.ParseUint(a[0], 10, 64)
 	if err != nil {
 		return trace.Wrap(err, "revision")
 	}
-	return r.atLeast(snapshot.Version(want))
+	var limit time.Duration
+	if len(a) > 1 {
+		if limit, err = time.ParseDuration(a[1]); err != nil {
+			return trace.Wrap(err, "duration")
+		}
+	}
+	for start := time.Now(); ; time.Sleep(pollStep) {
+		if err := r.atLeast(snapshot.Version(want)); err != nil || time.Since(start) >= limit {
+			return err
+		}
+	}
 }
 
 func reachesRevision(r *run, ts *testscript.TestScript, a []string) error {
