--- a/testkit/fabric/follow.go
+++ b/testkit/fabric/follow.go
@@ -43,6 +43,10 @@
 			continue
 		}
 		if t.Revision <= revision {
+			if t.Revision < revision {
+				// A platform that serves an older revision may answer at once.
+				time.Sleep(retryWait)
+			}
 			continue
 		}
 		revision = t.Revision
