--- a/testkit/fabric/follow.go
+++ b/testkit/fabric/follow.go
@@ -44,7 +44,8 @@
 		}
 		if t.Revision <= revision {
 			if t.Revision < revision {
-				time.Sleep(retryWait) // a stale platform may answer at once
+				// A platform that serves an older revision may answer at once.
+				time.Sleep(retryWait)
 			}
 			continue
 		}
