--- a/core/engine/local.go
+++ b/core/engine/local.go
@@ -137,7 +137,7 @@
 		}
 	}
 	if len(left) > 0 {
-		l.table.ForgetYoung(now, func(k flow.Key) bool { return slices.Contains(left, endpoint(k)) })
+		l.table.ForgetYoung(func(k flow.Key) bool { return slices.Contains(left, endpoint(k)) })
 	}
 }
 
--- a/core/group/walk.go
+++ b/core/group/walk.go
@@ -39,7 +39,7 @@
 // ForgetYoung removes the selected flows whose caller has not acknowledged the
 // host's SYN. An address has moved to another service, where the
 // SYN's retransmission may open the flow again.
-func (t *Table) ForgetYoung(now time.Duration, selected func(flow.Key) bool) {
+func (t *Table) ForgetYoung(selected func(flow.Key) bool) {
 	var young []flow.Key
 	t.flows.Walk(0, t.flows.Len(), func(e *table.Entry) bool {
 		if e.State() == table.SynSeen && selected(e.Key()) {
@@ -48,6 +48,6 @@
 		return true
 	})
 	for _, k := range young {
-		t.remove(now, t.flows.Find(k))
+		t.remove(t.flows.Find(k))
 	}
 }
