--- a/core/engine/bench_test.go
+++ b/core/engine/bench_test.go
@@ -12,9 +12,9 @@
 	"egrettack.example/core/snapshot"
 )
 
-// cityInput is the size to design for: 420 instances in 7 domains of 2
+// designInput is the size to design for: 420 instances in 7 domains of 2
 // regions, 3,500 hosts of 50 services behind 500 addresses.
-func cityInput(version snapshot.Version) snapshot.Input {
+func designInput(version snapshot.Version) snapshot.Input {
 	const domains, instances, services, kinds, hosts = 7, 420, 50, 10, 3500
 	in := snapshot.Input{Version: version}
 	for d := range domains {
@@ -54,8 +54,8 @@
 	return s
 }
 
-// cityEngine is an instance that has heard all peers and owns a group.
-func cityEngine(tb testing.TB, s *snapshot.Snapshot) (*Engine, time.Duration) {
+// designEngine is an instance that has heard all peers and owns a group.
+func designEngine(tb testing.TB, s *snapshot.Snapshot) (*Engine, time.Duration) {
 	for self := snapshot.InstanceID(1); self < 420; self += 7 {
 		e := New(0, Config{Self: self, Domain: 1, Boot: 1, Seed: 1, MaxFlows: 1 << 24})
 		e.SetSnapshot(0, s)
@@ -96,8 +96,8 @@
 }
 
 func BenchmarkPacket(b *testing.B) {
-	s := mustSnapshot(b, cityInput(1), nil)
-	e, now := cityEngine(b, s)
+	s := mustSnapshot(b, designInput(1), nil)
+	e, now := designEngine(b, s)
 	run := func(name string, keys []flow.Key, p flow.Packet, want Verdict) {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
@@ -133,7 +133,7 @@
 }
 
 func BenchmarkSnapshot(b *testing.B) {
-	in := cityInput(1)
+	in := designInput(1)
 	old := mustSnapshot(b, in, nil)
 	b.Run("first", func(b *testing.B) {
 		for b.Loop() {
@@ -163,7 +163,7 @@
 }
 
 func BenchmarkMemory(b *testing.B) {
-	in := cityInput(1)
+	in := designInput(1)
 	for b.Loop() {
 		start := liveHeap()
 		s := mustSnapshot(b, in, nil)
@@ -184,7 +184,7 @@
 func BenchmarkHeartbeats(b *testing.B) {
 	for _, peers := range []int{8, 20, 40, 60} {
 		b.Run(fmt.Sprint(peers, " peers"), func(b *testing.B) {
-			in := cityInput(1)
+			in := designInput(1)
 			in.Instances = nil
 			for i := range 7 * (peers + 1) {
 				in.Instances = append(in.Instances, snapshot.Instance{
--- a/core/engine/change_test.go
+++ b/core/engine/change_test.go
@@ -102,7 +102,7 @@
 }
 
 // Guards against quiet flows that their new first group does not know of.
-func TestStraysAreTold(t *testing.T) {
+func TestDisplacedFlowsAreTold(t *testing.T) {
 	n, moved := changed(t, func(n *node, k flow.Key, _ snapshot.GroupID) {
 		n.expect("SYN", &flow.Packet{Key: k, Flags: flow.SYN, Seq: 1}, nil, ToHost, "")
 	})
@@ -128,7 +128,7 @@
 // Guards against an entry of a SYN that stays in the service that its address
 // has left, where it would take packets if the address came back.
 func TestYoungFlowsAreForgottenOnMove(t *testing.T) {
-	w, n, _ := alone(t)
+	w, n, _ := single(t)
 	k := flow.Key{Src: 9, SrcPort: 9, Dst: moving.Addr, DstPort: moving.Port, Proto: flow.TCP}
 	n.expect("SYN", &flow.Packet{Key: k, Flags: flow.SYN, Seq: 1}, nil, ToHost, "")
 	w.do(step{Do: "move"})
@@ -169,3 +169,28 @@
 		Ask: group.AskHolder, Group: groups[0].ID, Asker: asker, Next: asker, Service: 1, Version: 1, Hops: 2,
 	}, Drop, group.ReasonHops)
 }
+
+// Guards against flows that stall between the last page of a pull and the
+// claim of the new owner.
+func TestHandedOverTableForwards(t *testing.T) {
+	w := newWorld(t, 1, startInput(1, 2, 2))
+	w.run(4 * time.Second)
+	n, other := w.nodes[0], w.nodes[1]
+	syn := &flow.Packet{Key: n.keyOf(feed), Flags: flow.SYN, Seq: 1}
+	data := &flow.Packet{Key: syn.Key, Flags: flow.ACK, Seq: 2, Ack: 1}
+	n.expect("owner", syn, nil, ToHost, "")
+	svc := n.engine.Snapshot().Services[1]
+	r := &message.PullRequest{From: other.id, Group: svc.Groups[svc.Rank(syn.Key)[0]].ID}
+	for done := false; !done; {
+		reply, err := n.engine.Pull(n.time(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Cursor, done = reply.Next, reply.Done
+	}
+	n.expect("established flow", data, nil, ToHost, "")
+	syn.Key.Src++
+	if a := n.engine.Packet(n.time(), syn, nil); a.Verdict != ToPeer || a.Peer.ID != other.id {
+		t.Errorf("new flow: verdict %d, reason %q", a.Verdict, a.Reason)
+	}
+}
--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -42,7 +42,7 @@
 	if v := e.view.Load(); v != nil {
 		e.settle(now, v)
 		e.takeForeign(now, v, h)
-		e.rivals(now, h)
+		e.conflicts(now, h)
 	}
 }
 
@@ -70,7 +70,7 @@
 	}
 	out := e.pulls(now, v, nil)
 	out = e.tables(now, v, out)
-	out = e.sendStrays(now, v, out)
+	out = e.sendDisplaced(now, v, out)
 	out = e.copies(now, v, out)
 	e.tracker.Lost(e.lostClaims())
 	out = e.heartbeats(now, out)
@@ -194,7 +194,7 @@
 		}
 	}
 	for _, o := range v.Mine {
-		if l := e.local(o.ID); o.Group != nil && e.abroad(o) && (l == nil || !l.owned()) {
+		if l := e.local(o.ID); o.Group != nil && e.remote(o) && (l == nil || !l.owned()) {
 			out = append(out, o.Group.Hosts...)
 		}
 	}
@@ -212,8 +212,8 @@
 	return l.role == roleOwner
 }
 
-// abroad reports whether the group's hosts are in another domain.
-func (e *Engine) abroad(o *member.Ownership) bool { return o.ID.Domain != e.cfg.Domain }
+// remote reports whether the group's hosts are in another domain.
+func (e *Engine) remote(o *member.Ownership) bool { return o.ID.Domain != e.cfg.Domain }
 
 // reaches reports whether most of the group's hosts answer probes from here.
 func (e *Engine) reaches(now time.Duration, g *snapshot.Group) bool {
--- a/core/engine/copies.go
+++ b/core/engine/copies.go
@@ -31,7 +31,7 @@
 // copies returns the batches that are due and fit the control budget, which
 // heartbeats use first.
 func (e *Engine) copies(now time.Duration, v *member.View, out []Output) []Output {
-	rate := max((1-strayShare)*float64(e.cfg.Budget)-e.tracker.Rate(), float64(e.cfg.Budget)/10)
+	rate := max((1-displacedShare)*float64(e.cfg.Budget)-e.tracker.Rate(), float64(e.cfg.Budget)/10)
 	e.tokens = min(rate*copyBurst.Seconds(), e.tokens+rate*(now-e.filled).Seconds())
 	e.filled = now
 	if len(e.order) == 0 {
--- a/core/engine/strays.go
+++ b/core/engine/displaced.go
@@ -9,34 +9,34 @@
 )
 
 const (
-	// strayPage is the number of entries of one group looked at in one tick.
-	strayPage = 64
-	// strayRounds is how often all entries are looked at after a change, since
+	// displacedPage is the number of entries of one group looked at in one tick.
+	displacedPage = 64
+	// displacedRounds is how often all entries are looked at after a change, since
 	// learn messages are not confirmed and views change at different times.
-	strayRounds = 3
-	// strayPause is the time between two rounds.
-	strayPause = 2 * time.Second
-	// strayShare is the part of the control budget that strays may take.
-	strayShare = 0.1
+	displacedRounds = 3
+	// displacedPause is the time between two rounds.
+	displacedPause = 2 * time.Second
+	// displacedShare is the part of the control budget that messages about displaced flows may take.
+	displacedShare = 0.1
 	// learnBytes is the estimated size of a learn message on the wire.
 	learnBytes = 90
 )
 
-// strays is the state of telling others of the flows that one owned group
+// displaced is the state of telling others of the flows that one owned group
 // holds although another group ranks first for them. It is guarded by Engine.mu.
-type strays struct {
+type displaced struct {
 	rounds int
 	cursor uint64
 	next   time.Duration
 }
 
-// restray begins rounds for the groups of services whose ranking or owners
+// markDisplaced begins rounds for the groups of services whose ranking or owners
 // have changed.
-func (e *Engine) restray(now time.Duration, old, v *member.View) {
+func (e *Engine) markDisplaced(now time.Duration, old, v *member.View) {
 	for _, l := range e.order {
 		if old == nil || moved(old, v, l.id.Service) {
-			l.strays.rounds = strayRounds
-			l.strays.next = max(l.strays.next, now+strayPause)
+			l.displaced.rounds = displacedRounds
+			l.displaced.next = max(l.displaced.next, now+displacedPause)
 		}
 	}
 }
@@ -56,49 +56,49 @@
 	return false
 }
 
-// sendStrays tells the owners of first groups of flows that groups of this
+// sendDisplaced tells the owners of first groups of flows that groups of this
 // instance hold. They keep redirects, so that a quiet flow is found after any
 // number of changes of the host list.
-func (e *Engine) sendStrays(now time.Duration, v *member.View, out []Output) []Output {
-	rate := strayShare * float64(e.cfg.Budget)
-	e.strayTokens = min(rate, e.strayTokens+rate*(now-e.strayFilled).Seconds())
-	e.strayFilled = now
+func (e *Engine) sendDisplaced(now time.Duration, v *member.View, out []Output) []Output {
+	rate := displacedShare * float64(e.cfg.Budget)
+	e.displacedTokens = min(rate, e.displacedTokens+rate*(now-e.displacedFilled).Seconds())
+	e.displacedFilled = now
 	for _, l := range e.order {
-		if l.strays.rounds == 0 || now < l.strays.next || e.strayTokens <= 0 {
+		if l.displaced.rounds == 0 || now < l.displaced.next || e.displacedTokens <= 0 {
 			continue
 		}
-		for _, m := range e.strayPage(now, v, l) {
+		for _, m := range e.displacedPage(now, v, l) {
 			to := v.Owners[m.Group].Target
 			if to.ID == e.cfg.Self {
 				e.Learn(now, &m)
 				continue
 			}
-			e.strayTokens -= learnBytes
+			e.displacedTokens -= learnBytes
 			out = append(out, Output{To: to, Learn: &m})
 		}
 	}
 	return out
 }
 
-// strayPage looks at some entries of one group.
-func (e *Engine) strayPage(now time.Duration, v *member.View, l *local) []message.Learn {
+// displacedPage looks at some entries of one group.
+func (e *Engine) displacedPage(now time.Duration, v *member.View, l *local) []message.Learn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.role != roleOwner {
-		l.strays = strays{}
+		l.displaced = displaced{}
 		return nil
 	}
 	var found []message.Learn
-	next, more := l.table.Walk(now, l.strays.cursor, strayPage, func(m message.Entry) {
+	next, more := l.table.Walk(now, l.displaced.cursor, displacedPage, func(m message.Entry) {
 		if first := firstGroup(v, &m); first != nil && first.ID != l.id && first.ID.Service == l.id.Service && first.Target != nil {
 			found = append(found, message.Learn{From: e.cfg.Self, Group: first.ID, Entry: m, HeldBy: l.id})
 		}
 	})
-	l.strays.cursor = next
+	l.displaced.cursor = next
 	if !more {
-		l.strays.cursor = 0
-		l.strays.rounds--
-		l.strays.next = now + strayPause
+		l.displaced.cursor = 0
+		l.displaced.rounds--
+		l.displaced.next = now + displacedPause
 	}
 	return found
 }
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -84,19 +84,19 @@
 
 	// mu guards what follows. It is taken before a group mutex, never by
 	// Packet, and never while a group mutex is held.
-	mu          sync.Mutex
-	tracker     *member.Tracker
-	order       []*local // the values of groups, sorted
-	strayTokens float64  // bytes that learn messages for strays may take
-	strayFilled time.Duration
-	turn        int     // group whose copies go first
-	tokens      float64 // bytes that copies may take
-	filled      time.Duration
-	behind      time.Duration                     // since when a peer has a newer snapshot, 0 if none
-	fetched     time.Duration                     // last Output.Fetch
-	counted     time.Duration                     // last collection of foreign counts
-	foreign     map[snapshot.InstanceID]bool      // peers that reported counts last time
-	probed      map[snapshot.HostID]time.Duration // last answered probe
+	mu              sync.Mutex
+	tracker         *member.Tracker
+	order           []*local // the values of groups, sorted
+	displacedTokens float64  // bytes that learn messages about displaced flows may take
+	displacedFilled time.Duration
+	turn            int     // group whose copies go first
+	tokens          float64 // bytes that copies may take
+	filled          time.Duration
+	behind          time.Duration                     // since when a peer has a newer snapshot, 0 if none
+	fetched         time.Duration                     // last Output.Fetch
+	counted         time.Duration                     // last collection of foreign counts
+	foreign         map[snapshot.InstanceID]bool      // peers that reported counts last time
+	probed          map[snapshot.HostID]time.Duration // last answered probe
 }
 
 // New returns an engine in state Joining without a snapshot.
@@ -147,7 +147,7 @@
 	old := e.view.Load()
 	if v := e.tracker.View(); v != old {
 		e.view.Store(v)
-		e.restray(now, old, v)
+		e.markDisplaced(now, old, v)
 	}
 }
 
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -47,7 +47,7 @@
 
 // Guards against an instance that takes over groups of another domain whose
 // hosts it cannot reach, or never takes over those that it can.
-func TestTakeoverAbroadNeedsProbes(t *testing.T) {
+func TestRemoteTakeoverNeedsProbes(t *testing.T) {
 	w := newWorld(t, 1, startInput(2, 1, 2))
 	w.run(4 * time.Second)
 	setDead := func(dead bool) {
@@ -57,7 +57,7 @@
 	}
 	setDead(true)
 	w.nodes[1].dead = true
-	abroad := func() (n int) {
+	remote := func() (n int) {
 		for _, g := range w.nodes[0].engine.Status(w.nodes[0].time()).Groups {
 			if g.Group.Domain == 2 && g.Role == "owner" {
 				n++
@@ -66,18 +66,18 @@
 		return n
 	}
 	w.run(10 * time.Second)
-	if n := abroad(); n != 0 {
+	if n := remote(); n != 0 {
 		t.Errorf("%d groups taken over whose hosts do not answer", n)
 	}
 	setDead(false)
 	w.run(14 * time.Second)
-	if n := abroad(); n != 2 {
+	if n := remote(); n != 2 {
 		t.Errorf("%d groups taken over, want 2", n)
 	}
 }
 
-// alone returns the only instance of a service with one group of one host.
-func alone(t *testing.T) (*world, *node, *flow.Packet) {
+// single returns the only instance of a service with one group of one host.
+func single(t *testing.T) (*world, *node, *flow.Packet) {
 	w := newWorld(t, 1, startInput(1, 1, 1))
 	w.run(4 * time.Second)
 	k := flow.Key{Src: 9, SrcPort: 9, Dst: feed.Addr, DstPort: feed.Port, Proto: feed.Proto}
@@ -87,7 +87,7 @@
 // Guards against an owner that fills a host which another instance still has
 // flows on.
 func TestForeignCountsTakePlaces(t *testing.T) {
-	w, n, syn := alone(t)
+	w, n, syn := single(t)
 	w.publish(func(in *snapshot.Input) {
 		in.Instances = append(in.Instances, snapshot.Instance{ID: 2, Domain: 1})
 	})
@@ -136,7 +136,7 @@
 
 // Guards against an explanation that leaves out what an operator asks for.
 func TestExplain(t *testing.T) {
-	_, n, syn := alone(t)
+	_, n, syn := single(t)
 	n.engine.Packet(n.time(), syn, nil)
 	text := n.engine.Explain(n.time(), syn.Key)
 	for _, want := range []string{"service register (1)", "kind kind1 (1)", "group 1: 1.1.0", "claimed by 1", "here: owner", "entry on host 1"} {
@@ -148,7 +148,7 @@
 
 // Guards, under the race detector, against state that is read without its lock.
 func TestConcurrentCalls(t *testing.T) {
-	_, n, syn := alone(t)
+	_, n, syn := single(t)
 	var wg sync.WaitGroup
 	for worker := range 4 {
 		wg.Go(func() {
--- a/core/engine/guard_test.go
+++ b/core/engine/guard_test.go
@@ -34,7 +34,7 @@
 // Guards against a packet without entry that is sent to a default host although
 // the address may belong to another service by now.
 func TestDefaultIsNoGuess(t *testing.T) {
-	w, n, syn := alone(t)
+	w, n, syn := single(t)
 	data := &flow.Packet{Key: syn.Key, Flags: flow.ACK, Seq: 2, Ack: 1, PayloadLen: 5}
 	n.expect("nothing in doubt", data, nil, ToHost, "")
 	data.Key.Src++
--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -32,18 +32,18 @@
 )
 
 // pull is the state of getting a group's entries from another instance. An
-// owner pulls too, to merge the entries of a rival whose claim did not hold.
+// owner pulls too, to merge the entries of an instance whose claim did not hold.
 type pull struct {
-	source snapshot.InstanceID
-	table  *group.Table // being filled; nil before the first page
-	base   []snapshot.HostID
-	epoch  uint64 // of the source's table
-	cursor uint64
-	asked  time.Duration
-	retry  time.Duration
-	tries  int
-	flying bool
-	merge  bool
+	source   snapshot.InstanceID
+	table    *group.Table // being filled; nil before the first page
+	base     []snapshot.HostID
+	epoch    uint64 // of the source's table
+	cursor   uint64
+	asked    time.Duration
+	retry    time.Duration
+	tries    int
+	inFlight bool
+	merge    bool
 }
 
 // settle ends the claims of this instance that do not hold, and notes that the
@@ -75,9 +75,9 @@
 	}
 }
 
-// rivals notes peers whose claim does not hold against one of this instance's:
+// conflicts notes peers whose claim does not hold against one of this instance's:
 // they hold flows that they placed meanwhile.
-func (e *Engine) rivals(now time.Duration, h *message.Heartbeat) {
+func (e *Engine) conflicts(now time.Duration, h *message.Heartbeat) {
 	for _, c := range slices.Concat(h.Claims, h.Lost) {
 		l := e.local(c.Group)
 		if l == nil {
@@ -115,7 +115,7 @@
 
 // claimOne is called with l.mu held.
 func (e *Engine) claimOne(now time.Duration, v *member.View, l *local, o *member.Ownership) {
-	if e.abroad(o) && !e.reaches(now, o.Group) {
+	if e.remote(o) && !e.reaches(now, o.Group) {
 		return
 	}
 	source := o.Claimant
@@ -174,19 +174,19 @@
 			if l.table != nil {
 				l.role = roleHandedOver
 			}
-			p.flying = false
+			p.inFlight = false
 		} else {
 			*p = pull{}
 		}
 		return nil
-	case p.flying && now-p.asked > pullTimeout:
-		p.flying = false
+	case p.inFlight && now-p.asked > pullTimeout:
+		p.inFlight = false
 		p.tries++
 	}
-	if p.flying || now < p.retry {
+	if p.inFlight || now < p.retry {
 		return nil
 	}
-	p.flying, p.asked = true, now
+	p.inFlight, p.asked = true, now
 	return &message.PullRequest{Group: l.id, Cursor: p.cursor}
 }
 
@@ -233,10 +233,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := &l.pull
-	if !p.flying || r.Cursor != p.cursor || l.role != rolePulling && !p.merge {
+	if !p.inFlight || r.Cursor != p.cursor || l.role != rolePulling && !p.merge {
 		return
 	}
-	p.flying = false
+	p.inFlight = false
 	switch {
 	case err != nil:
 		p.tries++
@@ -252,7 +252,7 @@
 	e.publish(now)
 }
 
-// mergePage adds entries of a rival to an owned table.
+// mergePage adds entries of another claimant to an owned table.
 func (l *local) mergePage(now time.Duration, reply *message.PullReply) {
 	l.table.Import(now, reply.Entries)
 	l.pull.cursor = reply.Next
@@ -285,7 +285,7 @@
 	}
 	t := p.table
 	if l.table != nil {
-		absorb(now, t, l.table)
+		importAll(now, t, l.table)
 	}
 	for i := range reply.Redirects {
 		t.Learn(now, &reply.Redirects[i])
--- a/core/engine/local.go
+++ b/core/engine/local.go
@@ -46,8 +46,8 @@
 	previous snapshot.InstanceID
 	pull     pull
 	// merged tells which epoch of a rival's claim has been merged.
-	merged map[snapshot.InstanceID]uint64
-	strays strays
+	merged    map[snapshot.InstanceID]uint64
+	displaced displaced
 
 	copies     *group.Copies
 	copied     int // entries received as copies in this epoch
@@ -170,8 +170,8 @@
 	l.pull = pull{}
 }
 
-// absorb adds all entries of an older table of this instance.
-func absorb(now time.Duration, into, from *group.Table) {
+// importAll adds all entries of an older table of this instance.
+func importAll(now time.Duration, into, from *group.Table) {
 	for cursor := uint64(0); ; {
 		page := from.Pull(now, cursor, pullPage)
 		into.Import(now, page.Entries)
@@ -204,11 +204,11 @@
 	}
 	t := e.newTable(now, v, l.id, epoch+1, base)
 	if l.pull.table != nil {
-		absorb(now, t, l.pull.table)
+		importAll(now, t, l.pull.table)
 	}
 	t.Import(now, entries)
 	if l.table != nil {
-		absorb(now, t, l.table)
+		importAll(now, t, l.table)
 	}
 	return t
 }
--- a/core/engine/lookup.go
+++ b/core/engine/lookup.go
@@ -13,7 +13,7 @@
 	// way back to the owner within MaxHops.
 	maxAsked = 2
 	// pastKeep is how long after a change of the ranking the owners of a
-	// flow's earlier groups are asked for it. By then strays has told the new
+	// flow's earlier groups are asked for it. By then sendDisplaced has told the new
 	// ones where such flows are.
 	pastKeep = 2 * time.Minute
 	// askTurn is the time after which a retransmission begins with another
@@ -130,15 +130,15 @@
 	}
 	c.addPast(w, own, w.bind.Service)
 	c.add(w, own, w.other(own))
-	if id, ok := w.abroad(); ok {
+	if id, ok := w.thirdGroup(); ok {
 		c.add(w, own, id)
 	}
 	return c
 }
 
-// abroad is the flow's third group when it is the first of another domain than
+// thirdGroup is the flow's third group when it is the first of another domain than
 // its first group: it got the flow if that domain was cut off at the time.
-func (w *work) abroad() (snapshot.GroupID, bool) {
+func (w *work) thirdGroup() (snapshot.GroupID, bool) {
 	r := w.bind.Service.Rank(w.p.Key)
 	if r[2] < 0 {
 		return snapshot.GroupID{}, false
@@ -295,7 +295,7 @@
 	case w.opens():
 	case e.wanted.Load() > uint64(w.v.Snapshot.Version):
 		return drop(group.ReasonVersion)
-	case w.v.Parted:
+	case w.v.Partitioned:
 		return drop(group.ReasonUnreachable)
 	default:
 		if o := e.others(w, l); o.n > maxAsked {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -106,8 +106,8 @@
 	State    message.State
 	Stale    bool
 	Snapshot *snapshot.Snapshot
-	// Parted is true while a listed domain is not heard of.
-	Parted bool
+	// Partitioned is true while a listed domain is not heard of.
+	Partitioned bool
 	// floor is the oldest version in force at an instance that is alive, and
 	// since when each recent version is in force here.
 	floor snapshot.Version
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -30,22 +30,22 @@
 	return s
 }
 
-// rig is a tracker of instance 1 with a clock and peers that send heartbeats.
-type rig struct {
+// fixture is a tracker of instance 1 with a clock and peers that send heartbeats.
+type fixture struct {
 	t   *testing.T
 	m   *Tracker
 	now time.Duration
 	seq uint64
 }
 
-func newRig(t *testing.T, s *snapshot.Snapshot) *rig {
-	r := &rig{t: t, m: New(0, Config{Self: 1, Domain: 1, Boot: 1})}
+func newFixture(t *testing.T, s *snapshot.Snapshot) *fixture {
+	r := &fixture{t: t, m: New(0, Config{Self: 1, Domain: 1, Boot: 1})}
 	r.m.SetSnapshot(0, s)
 	return r
 }
 
 // pass lets time go by; the peers given are heard every base interval.
-func (r *rig) pass(d time.Duration, peers ...snapshot.InstanceID) {
+func (r *fixture) pass(d time.Duration, peers ...snapshot.InstanceID) {
 	for end := r.now + d; r.now < end; {
 		r.now += 50 * time.Millisecond
 		if r.now%BaseInterval == 0 {
@@ -57,14 +57,14 @@
 	}
 }
 
-func (r *rig) hear(id snapshot.InstanceID, s message.State, claims ...message.Claim) {
+func (r *fixture) hear(id snapshot.InstanceID, s message.State, claims ...message.Claim) {
 	r.seq++
 	r.m.Heartbeat(r.now, &message.Heartbeat{From: id, Boot: 1, Seq: r.seq, State: s, Version: 1, Claims: claims})
 }
 
-func (r *rig) state(id snapshot.InstanceID) message.State { return r.m.View().Peers[id].State }
+func (r *fixture) state(id snapshot.InstanceID) message.State { return r.m.View().Peers[id].State }
 
-func (r *rig) expect(what string, got, want any) {
+func (r *fixture) expect(what string, got, want any) {
 	r.t.Helper()
 	if got != want {
 		r.t.Errorf("%s at %v: %v, want %v", what, r.now, got, want)
@@ -74,7 +74,7 @@
 // Guards against peers that are dropped after two lost heartbeats, or kept
 // after five.
 func TestSilentPeerIsSuspectedThenGone(t *testing.T) {
-	r := newRig(t, list(t, 1, 1, 3))
+	r := newFixture(t, list(t, 1, 1, 3))
 	r.pass(800*time.Millisecond, 2, 3)
 	for _, step := range []struct {
 		silent time.Duration
@@ -94,13 +94,13 @@
 // Guards against an instance that owns groups before it has heard its peers,
 // and against one that waits forever for a peer that the list still names.
 func TestJoiningEnds(t *testing.T) {
-	r := newRig(t, list(t, 1, 1, 3))
+	r := newFixture(t, list(t, 1, 1, 3))
 	r.pass(400*time.Millisecond, 2)
 	r.expect("state with peer 3 unheard", r.m.State(), message.Joining)
 	r.pass(2*time.Second, 2)
 	r.expect("state with peer 3 gone", r.m.State(), message.Ready)
 
-	r = newRig(t, list(t, 1, 1, 2))
+	r = newFixture(t, list(t, 1, 1, 2))
 	r.m.Heartbeat(0, &message.Heartbeat{From: 2, Boot: 1, Seq: 1, State: message.Ready, Version: 2})
 	r.m.Tick(0)
 	r.expect("state with an older snapshot", r.m.State(), message.Joining)
@@ -109,7 +109,7 @@
 // Guards against a woken process that decides on views from before its pause,
 // and against one that takes its peers for dead because it did not listen.
 func TestPause(t *testing.T) {
-	r := newRig(t, list(t, 1, 1, 4))
+	r := newFixture(t, list(t, 1, 1, 4))
 	r.pass(2*time.Second, 2, 3, 4)
 	r.now += 5 * time.Second
 	r.m.Tick(r.now)
@@ -143,7 +143,7 @@
 		{"equal epochs", 0, 4, 4, 2},
 		{"equal to the own", 4, 4, 0, 1},
 	} {
-		r := newRig(t, list(t, 1, 1, 3))
+		r := newFixture(t, list(t, 1, 1, 3))
 		if c.own > 0 {
 			r.m.Claim(g, c.own)
 		}
@@ -155,7 +155,7 @@
 		}
 		r.expect(c.name, r.m.View().Owners[g].Claimant, c.claimant)
 	}
-	r := newRig(t, list(t, 1, 1, 3))
+	r := newFixture(t, list(t, 1, 1, 3))
 	r.hear(2, message.Ready, message.Claim{Group: g, Epoch: 4})
 	r.m.View()
 	r.hear(2, message.Ready)
@@ -220,13 +220,13 @@
 // Guards against a cut-off domain whose instances are still ranked, and against
 // relays to an instance of another domain that has not claimed the group.
 func TestCutDomain(t *testing.T) {
-	r := newRig(t, list(t, 1, 2, 2)) // 1 and 3 in domain 1, 2 and 4 in domain 2
+	r := newFixture(t, list(t, 1, 2, 2)) // 1 and 3 in domain 1, 2 and 4 in domain 2
 	r.pass(2*time.Second, 2, 3, 4)
 	g := snapshot.GroupID{Service: 1, Domain: 2}
-	r.expect("parted", r.m.View().Parted, false)
+	r.expect("partitioned", r.m.View().Partitioned, false)
 	r.pass(2*time.Second, 3)
 	v := r.m.View()
-	r.expect("parted", v.Parted, true)
+	r.expect("partitioned", v.Partitioned, true)
 	r.expect("target is set", v.Owners[g].Target != nil, false)
 	r.hear(3, message.Ready, message.Claim{Group: g, Epoch: 9})
 	r.expect("target after a claim", r.m.View().Owners[g].Target.ID, snapshot.InstanceID(3))
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -80,7 +80,7 @@
 	v := &View{
 		Self: t.cfg.Self, State: t.state, Stale: t.stale,
 		Snapshot: t.snap, Reranked: t.reranked,
-		Parted: t.parted(), floor: t.floor, taken: t.taken, moves: t.moves,
+		Partitioned: t.partitioned(), floor: t.floor, taken: t.taken, moves: t.moves,
 		Peers:    make(map[snapshot.InstanceID]*Peer, len(t.peers)),
 		Owners:   make(map[snapshot.GroupID]*Ownership, len(t.snap.Groups)),
 		services: make(map[snapshot.ServiceID][]*Ownership, len(t.snap.Services)),
@@ -115,8 +115,8 @@
 	return v
 }
 
-// parted reports whether all instances of a listed domain are silent.
-func (t *Tracker) parted() bool {
+// partitioned reports whether all instances of a listed domain are silent.
+func (t *Tracker) partitioned() bool {
 	alive := map[snapshot.DomainID]bool{t.cfg.Domain: true}
 	for _, p := range t.peers {
 		if p.judged != message.Suspected && p.judged != message.Gone {
