Send packets of ended flows to the new owner during a handover

Cause: until the former owner has heard the new claim, it forwards along the entries it has, those of ended flows included. The new owner has them as well, and may place a new flow on the same 5-tuple at another host. A packet of that flow which reaches the former owner then goes to the wrong host, whose TCP resets it. Change: a request may count open flows only; a former owner does so while the new one is alive. Residue: an end that only the new owner has seen.

--- a/core/engine/packet.go
+++ b/core/engine/packet.go
@@ -193,7 +193,10 @@
 		d = l.table.Packet(w.now, &req)
 	case (role == roleOwner || role == roleHandedOver && !settled) && !w.opens():
 		// Forwarding along an entry decides nothing, since its host never changes.
+		// The new owner has the entries of ended flows too, and may have placed
+		// a new flow on the 5-tuple.
 		req.Ask, req.Established = group.AskHolder, w.stale
+		req.Open = role == roleHandedOver && w.v.Alive(next)
 		d = l.table.Packet(w.now, &req)
 	default:
 		d = group.Decision{Verdict: group.Miss}
--- a/core/engine/stale_test.go
+++ b/core/engine/stale_test.go
@@ -18,10 +18,13 @@
 	owner, other snapshot.InstanceID
 }
 
-func newDuo(t *testing.T) *duo {
+func newDuo(t *testing.T, hosts int) *duo {
 	in := smallInput(1)
 	in.Instances = []snapshot.Instance{{ID: 1, Domain: 1}, {ID: 3, Domain: 1}}
-	in.Hosts = in.Hosts[:1]
+	in.Hosts = in.Hosts[:hosts]
+	for i := range in.Hosts {
+		in.Hosts[i].Domain = 1
+	}
 	s, err := snapshot.New(in, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -65,14 +68,18 @@
 }
 
 func (d *duo) syn(at snapshot.InstanceID, port uint16) Action {
+	return d.packet(at, port, flow.SYN, 5)
+}
+
+func (d *duo) packet(at snapshot.InstanceID, port uint16, f flow.Flags, seq uint32) Action {
 	key := flow.Key{Src: 9, SrcPort: port, Dst: 1, DstPort: 80, Proto: flow.TCP}
-	return d.engines[at].Packet(d.now, &flow.Packet{Key: key, Flags: flow.SYN, Seq: 5}, nil)
+	return d.engines[at].Packet(d.now, &flow.Packet{Key: key, Flags: f, Seq: seq, Ack: 9}, nil)
 }
 
 // Guards against an owner that wakes from a pause and places or refuses flows
 // by what it knew before: another one has taken its groups over meanwhile.
 func TestWokenInstanceDecidesNothing(t *testing.T) {
-	d := newDuo(t)
+	d := newDuo(t, 1)
 	d.run(10*time.Second, d.other)
 	if !d.owns(d.other) {
 		t.Fatalf("instance %d has not taken the group over", d.other)
@@ -93,7 +100,7 @@
 // Guards against an instance that ends a planned stop before another one has
 // its entries.
 func TestLeftAfterHandover(t *testing.T) {
-	d := newDuo(t)
+	d := newDuo(t, 1)
 	if a := d.syn(d.owner, 1000); a.Verdict != ToHost {
 		t.Fatalf("SYN: %+v", a)
 	}
@@ -112,6 +119,43 @@
 	}
 }
 
+// Guards against a packet of a reused 5-tuple going to the host of the flow that
+// had it before: the former owner, which has not heard the new claim yet, still
+// has the entry of that flow, and the new owner has placed the new one.
+func TestReusedTupleDuringHandover(t *testing.T) {
+	d := newDuo(t, 3)
+	const port = 1000
+	first := d.syn(d.owner, port).Host
+	d.packet(d.owner, port, flow.ACK, 6)
+	// The first flow's host becomes the busiest.
+	elsewhere := []uint16{}
+	for p := uint16(2000); p < 2030; p++ {
+		if a := d.syn(d.owner, p); a.Host != first {
+			elsewhere = append(elsewhere, p)
+		}
+	}
+	for _, p := range elsewhere {
+		d.packet(d.owner, p, flow.RST, 6)
+	}
+	d.packet(d.owner, port, flow.ACK|flow.FIN, 6)
+	d.engines[d.owner].Leave(d.now)
+	for end := d.now + 5*time.Second; !d.owns(d.other); {
+		if d.run(d.now+TickInterval, d.owner, d.other); d.now > end {
+			t.Fatal("no handover")
+		}
+	}
+	if l := d.engines[d.owner].local(duoGroup); l.role != roleHandedOver || l.settled {
+		t.Fatalf("the former owner is %s, settled %t", l.role, l.settled)
+	}
+	second := d.packet(d.other, port, flow.SYN, 777)
+	if second.Verdict != ToHost || second.Host == first {
+		t.Fatalf("second flow: %+v, the first was at host %d", second, first.ID)
+	}
+	if a := d.packet(d.owner, port, flow.ACK, 778); a.Verdict == ToHost && a.Host.ID != second.Host.ID {
+		t.Errorf("a packet of the second flow goes to host %d, the flow is at %d", a.Host.ID, second.Host.ID)
+	}
+}
+
 // Guards against packets of an address that has moved being placed by the
 // older of two snapshots, and by an instance that has the older one.
 func TestNewerSnapshotDecidesOnRelayedPackets(t *testing.T) {
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -39,6 +39,9 @@
 	// acknowledged the host's SYN. A younger one may have been left behind by
 	// a SYN whose retransmission opened the flow elsewhere.
 	Established bool
+	// Open makes an AskHolder count only entries of flows that have not begun to
+	// end. The 5-tuple of another one may be in use again.
+	Open bool
 }
 
 // Verdict is what happens to a packet.
--- a/core/group/packet.go
+++ b/core/group/packet.go
@@ -14,7 +14,7 @@
 	p := r.Packet
 	hash := table.HashOf(p.Key)
 	if e := t.flows.FindHash(hash, p.Key); e != nil {
-		if r.Established && e.State() == table.SynSeen {
+		if r.Established && e.State() == table.SynSeen || r.Open && e.State() >= table.Closing {
 			return Decision{Verdict: Miss}
 		}
 		if !t.opensAnew(now, e, p) {
--- a/testkit/cmd/egrettack-testkit/garbage.go
+++ b/testkit/cmd/egrettack-testkit/garbage.go
@@ -85,9 +85,11 @@
 	// Every second one passes the reader of IPv4 headers, so that forged relay
 	// headers and segments reach the decisions behind it.
 	valid := rnd.IntN(2) == 0
-	if valid && len(inner) >= 40 {
+	if valid {
 		inner[2], inner[3] = 0, byte(len(inner))
 		inner[6], inner[7] = 0x40, 0
+	}
+	if valid && len(inner) >= 40 {
 		inner[32] = 0x50 | inner[32]&0x0f
 	}
 	dst := k.Address.Addr().As4()
--- a/wire/ip4/ip4_test.go
+++ b/wire/ip4/ip4_test.go
@@ -82,6 +82,8 @@
 		{"later fragment", patch(good(), 6, 0, 1), ReasonFragment},
 		{"ICMP", patch(good(), 9, 1), ReasonProtocol},
 		{"cut TCP header", patch(good(), 2, 0, 39), ReasonShort},
+		{"TCP header of 8 bytes", patch(good(), 2, 0, 28), ReasonShort},
+		{"no TCP header", patch(good(), 2, 0, 20), ReasonShort},
 		{"TCP data offset 4", patch(good(), 32, 0x40), ReasonHeader},
 		{"TCP data offset beyond data", patch(good(), 32, 0xF0), ReasonShort},
 		{"cut UDP header", patch(udp(), 2, 0, 27), ReasonShort},
