--- a/testkit/link/link.go
+++ b/testkit/link/link.go
@@ -79,6 +79,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("PUT /test/v1/links", control.Accept(f.set))
+	mux.Handle("PUT /test/v1/links/all", control.Accept(f.setAll))
 	mux.Handle("GET /test/v1/stats", control.Report(func() any { return f.stats() }))
 	addr, err := control.Address(f.url)
 	if err != nil {
@@ -107,6 +108,16 @@
 	return nil
 }
 
+// setAll sets several directions at nearly the same time.
+func (f *Forwarder) setAll(r *http.Request, states []State) error {
+	for _, s := range states {
+		if err := f.set(r, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (f *Forwarder) set(_ *http.Request, s State) error {
 	found := false
 	for p, d := range f.directions {
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strconv"
 	"syscall"
@@ -151,11 +150,7 @@
 			states = append(states, link.State{From: a[1], To: a[0], Cut: on, DelayMS: healedDelayMS})
 		}
 		return act(func(ctx context.Context) error {
-			var errs []error
-			for _, s := range states {
-				errs = append(errs, control.Put(ctx, r.world.LinkURL+"/test/v1/links", s))
-			}
-			return errors.Join(errs...)
+			return control.Put(ctx, r.world.LinkURL+"/test/v1/links/all", states)
 		})
 	}
 }
