Collect garbage when the heap has grown by a quarter

Cause: at the design size (420 instances, 3,500 hosts) an instance without flows was 44 MB resident against a limit of 32 MB for control; 22 MB of it was heap, of which under 10 MB was live.

Ruled out: a memory limit (GOMEMLIMIT); it would make the collector run without end when flows need more.

--- a/cmd/egrettack/main.go
+++ b/cmd/egrettack/main.go
@@ -24,6 +24,11 @@
 	Profiles bool   `long:"pprof" description:"serve /debug/pprof on the http address"`
 }
 
+// gcPercent makes the collector run when the heap has grown by a quarter. The
+// heap is mostly the snapshot, which lives long, and the packet path allocates
+// nothing, so the memory of the usual doubling would buy little.
+const gcPercent = 25
+
 // Exit codes.
 const (
 	exitFailed = 1
@@ -55,6 +60,7 @@
 		return exitUsage
 	}
 	if o.Check {
+		fmt.Println(o.Settings, "is valid")
 		return 0
 	}
 	return serve(s, o)
@@ -68,6 +74,7 @@
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("instance", s.Name)
 	slog.SetDefault(log)
+	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// A second signal ends the process at once.
