--- a/core/engine/stale_test.go
+++ b/core/engine/stale_test.go
@@ -6,6 +6,7 @@
 
 	"egrettack.example/core/flow"
 	"egrettack.example/core/group"
+	"egrettack.example/core/message"
 	"egrettack.example/core/snapshot"
 )
 
@@ -196,3 +197,42 @@
 		t.Errorf("from an instance that does not know of the move: %+v", a)
 	}
 }
+
+// Guards against a new flow to an address that has moved while a live instance
+// does not know of the move: it would place the flow's SYN in the old service.
+func TestMovedAddressWaitsForAll(t *testing.T) {
+	in := startInput(1, 2, 3)
+	before, err := snapshot.New(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.Version, in.Services = 2, services(true)
+	after, err := snapshot.New(in, before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := New(0, Config{Self: 1, Domain: 1, Boot: 1})
+	e.SetSnapshot(0, before)
+	now, seq := time.Duration(0), uint64(0)
+	run := func(d time.Duration, peer snapshot.Version) {
+		for end := now + d; now < end; now += TickInterval {
+			seq++
+			e.Heartbeat(now, &message.Heartbeat{From: 2, Boot: 1, Seq: seq, Version: peer, State: message.Ready})
+			e.Tick(now)
+		}
+	}
+	syn := func(port uint16) Action {
+		key := flow.Key{Src: 9, SrcPort: port, Dst: moving.Addr, DstPort: moving.Port, Proto: flow.TCP}
+		return e.Packet(now, &flow.Packet{Key: key, Flags: flow.SYN, Seq: 5}, nil)
+	}
+	run(5*time.Second, 1)
+	e.SetSnapshot(now, after)
+	run(time.Second, 1)
+	if a := syn(1000); a.Verdict != Drop || a.Reason != group.ReasonMoved {
+		t.Errorf("while the peer has the older version: %+v", a)
+	}
+	run(time.Second, 2)
+	if a := syn(1001); a.Verdict == Drop {
+		t.Errorf("when the peer has the newer version: %+v", a)
+	}
+}
