--- a/core/group/limits_test.go
+++ b/core/group/limits_test.go
@@ -379,3 +379,41 @@
 	g.Expect(tab.Explain(0, key(feed, 2), feed)).To(Equal("redirected to group 7.2.1"))
 	g.Expect(tab.Explain(0, key(feed, 3), 99)).To(Equal("no entry; kind 99 is not defined"))
 }
+
+// Guards against a next owner that misses what happens while pages are sent,
+// or counts flows that were closed meanwhile.
+func TestPullTellsWhatHappensMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(5)
+	f.queue = 10
+	old, heir := f.table(group.Config{}), f.table(group.Config{Epoch: 2})
+	for n := range 12 {
+		open(t, old, 0, lookup, n)
+	}
+	n, cursor := 0, uint64(0)
+	for {
+		reply := old.Pull(0, cursor, 2)
+		heir.Import(0, reply.Entries)
+		if cursor = reply.Next; reply.Done {
+			break
+		}
+		if n < 12 {
+			flags := []flow.Flags{flow.FIN | flow.ACK, flow.RST, flow.ACK}[n%3]
+			old.Packet(0, request(lookup, n, flags, 101, 5001, 0))
+			open(t, old, 0, lookup, 20+n)
+			n++
+		}
+	}
+	g.Expect(n).To(Equal(12))
+	for i, h := range old.Stats(0).Hosts {
+		g.Expect(heir.Stats(0).Hosts[i]).To(And(HaveField("Slots", h.Slots), HaveField("Connections", h.Connections)))
+	}
+	g.Expect(heir.CheckCounts()).To(Succeed())
+	for n := range 32 {
+		if n < 12 || n >= 20 {
+			want := old.Packet(0, ask(ack(lookup, n, 100), group.AskHolder))
+			got := heir.Packet(0, ask(ack(lookup, n, 100), group.AskHolder))
+			g.Expect(got.Host).To(Equal(want.Host), "flow %d", n)
+		}
+	}
+}
