Release slots on the host's word when their requests went quiet

Cause: requests that were placed on both sides of a partition, or whose end was dropped in it, kept their slots until the kind's idle time (5 min in the sample tree).

Ruled out: a shorter idle time; a request of 60 s sends no packet meanwhile. Resetting such flows; they may still run.

Change: a slot whose request had no packet of its caller for 5 s is released when a fresh report of the host, with a free slot, tells of fewer requests in progress than are counted. Data of the caller counts it again. While a host denies requests, the table is swept ten times faster.

--- a/core/group/expire.go
+++ b/core/group/expire.go
@@ -20,6 +20,10 @@
 	closingIdle = time.Minute
 	// closedIdle covers packets that arrive late, after the end of the flow.
 	closedIdle = 2 * time.Second
+	// slotIdle is how long a request must have been without packets of its
+	// caller before its slot is released on the host's word, longer than the
+	// usual lag of load reports.
+	slotIdle = 5 * time.Second
 	// defaultIdle is used for kinds that are no longer configured.
 	defaultIdle = 5 * time.Minute
 
@@ -28,6 +32,9 @@
 	sweepPart = 200
 	sweepMin  = 64
 	sweepMax  = 8192 // slots; bounds the pause of one call
+	// sweepHurry is how many times faster entries are visited while a host
+	// denies requests that are counted on it.
+	sweepHurry = 10
 )
 
 // idle returns how long the flow may go without packets.
@@ -54,7 +61,11 @@
 		t.recount()
 	}
 	t.resets = nil
-	n := min(max(sweepMin, t.flows.Slots()/sweepPart), sweepMax)
+	n := max(sweepMin, t.flows.Slots()/sweepPart)
+	if t.hosts.Denied(now) {
+		n *= sweepHurry
+	}
+	n = min(n, sweepMax)
 	stamp := table.StampOf(now)
 	t.flows.Sweep(n, func(e *table.Entry) bool { return t.expire(now, stamp, e) })
 	t.setRoom()
@@ -73,6 +84,9 @@
 		return false
 	case t.gone(e.Host()), t.silent(now, e):
 		t.resetLater(e)
+	case e.Has(table.Slot) && e.Active.Since(stamp) > slotIdle:
+		t.releaseDenied(now, e)
+		return false
 	default:
 		return false
 	}
@@ -80,6 +94,16 @@
 	return true
 }
 
+// releaseDenied stops counting a request that its host says it does not run.
+// The host has answered and closed it, or reset it, without the caller's side
+// of that passing here; during a partition this happens to many at a time.
+func (t *Table) releaseDenied(now time.Duration, e *table.Entry) {
+	if h := t.hosts.Find(e.Host()); h != nil && h.Denies(now) {
+		h.Release()
+		t.end(e)
+	}
+}
+
 // resetLater resets the flow towards its caller, which may be waiting for
 // data and would send nothing for a long time.
 func (t *Table) resetLater(e *table.Entry) {
--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -52,6 +52,9 @@
 	if p.Flags.Has(flow.ACK) {
 		t.observeACK(now, e, p)
 	}
+	if p.PayloadLen > 0 && e.State() == table.Established && !e.Has(table.Counted) {
+		t.count(e) // its slot was released on the host's word
+	}
 	if p.Flags.Has(flow.FIN) && e.State() < table.Closing {
 		t.finish(now, e)
 		e.SetState(table.Closing)
--- /dev/null
+++ b/core/group/release_test.go
@@ -0,0 +1,72 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/group"
+	"egrettack.example/core/message"
+)
+
+// Guards against slots that stay taken until the idle time by requests whose
+// end did not pass here, as after a partition, and against reports that release
+// requests that may be running or waiting.
+func TestSlotsAreReleasedOnTheHostsWord(t *testing.T) {
+	cases := map[string]struct {
+		load  float64
+		quiet time.Duration // since the last packet of the requests
+		age   time.Duration // of the report
+		want  int
+	}{
+		"idle host":               {load: 0, quiet: 6 * time.Second, want: 0},
+		"one of two runs":         {load: 0.5, quiet: 6 * time.Second, want: 1},
+		"full host may queue":     {load: 1, quiet: 6 * time.Second, want: 3},
+		"requests are recent":     {load: 0, quiet: 4 * time.Second, want: 3},
+		"the report is too old":   {load: 0, quiet: 10 * time.Second, age: 4 * time.Second, want: 3},
+		"just within both bounds": {load: 0, quiet: 5100 * time.Millisecond, age: 2900 * time.Millisecond, want: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := defaultFleet(1)
+			tab := f.table(group.Config{})
+			for n := range 3 {
+				open(t, tab, 0, lookup, n)
+			}
+			tab.Report(c.quiet-c.age, 1, message.LoadReport{Load: c.load})
+			for range 200 {
+				tab.Tick(c.quiet)
+			}
+			g.Expect(tab.Stats(c.quiet).Hosts[0].Slots).To(Equal(c.want))
+			// Data shows that a released request goes on.
+			data := ack(lookup, 0, 100)
+			data.Packet.PayloadLen = 100
+			tab.Packet(c.quiet, data)
+			g.Expect(tab.Stats(c.quiet).Hosts[0].Slots).To(BeNumerically(">=", min(c.want+1, 1)))
+		})
+	}
+}
+
+// Guards against a host that always tells that it is idle being flooded: a
+// minute's releases are bounded by its places.
+func TestReleasesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	admitted := 0
+	for now := time.Duration(0); now < 50*time.Second; now += time.Second {
+		tab.Report(now, 1, message.LoadReport{Load: 0})
+		for range 200 {
+			tab.Tick(now)
+		}
+		if tab.Packet(now, syn(lookup, admitted, 100)).Verdict == group.Forward {
+			tab.Packet(now, ack(lookup, admitted, 100))
+			admitted++
+		}
+	}
+	// Two slots and two queue places, released once. The idle time of the kind
+	// ends each request after 30 s, hence a second round.
+	g.Expect(admitted).To(BeNumerically("<=", 16))
+}
--- a/core/place/host.go
+++ b/core/place/host.go
@@ -80,6 +80,8 @@
 
 	meanSlot float64 // mean time in a slot, ns
 	answered float64 // requests in that mean, at most estimateWeight
+
+	released release
 }
 
 func (h *Host) slots() int { return max(h.Slots, 1) }
