--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -24,7 +24,7 @@
 	bench ./node/platform . 1x
 	bench ./settings/published . 0.5s
 	bench ./testkit/bench 'Imbalance|Flood|^BenchmarkChange' 2x
-	bench ./testkit/bench FlowState 1x
+	bench ./testkit/bench 'FlowState|EncodedPeers' 1x
 	bench ./testkit/bench ViewChange 0.3s
 fi
 if [ "$part" != local ]; then
--- a/scripts/bench_page.sh
+++ b/scripts/bench_page.sh
@@ -12,13 +12,14 @@
 # Benchmarks
 
 \`make bench\` writes this page. It runs \`scripts/bench.sh\`; \`PART=local\` leaves out the benchmarks
-with real daemons. The last run was on $cores cores of a machine that other work shared, on
+with real daemons; one row repeats with \`BIN=\$PWD/.bin go test -run '^\$' -bench NAME -benchtime 1x PACKAGE\`.
+The last run was on $cores cores of a machine that other work shared, on
 $(date -u +%Y-%m-%d), with $(go version | cut -d' ' -f3). Nothing is checked against an absolute time
 of an earlier run; a bound is a count or a ratio to a stated target.
 
 \`ControlX\`, \`PlatformX\` and \`InForce\` start real daemons on loopback. \`Change\`, \`Imbalance\`,
-\`Flood\`, \`FlowState\` and \`ViewChange\` run engines in one process, in virtual time where there are several.
-Bytes are UDP or TCP payload.
+\`Flood\`, \`FlowState\`, \`EncodedPeers\` and \`ViewChange\` run engines in one process, all but the last in
+virtual time. Bytes are UDP or TCP payload, in \`EncodedPeers\` with IP and UDP headers.
 
 ## Against targets and baselines
 
