--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -20,7 +20,8 @@
 	bench ./core/table 'Insert|Find|Sweep' 0.3s
 	bench ./core/table 'Memory|Pause' 1x
 	bench ./wire/... . 0.3s
-	bench ./node/dataplane . 0.3s
+	bench ./node/dataplane 'Decide|Refuse' 0.3s
+	bench ./node/dataplane Loopback 1s
 	bench ./node/platform . 1x
 	bench ./settings/published . 0.5s
 	bench ./testkit/bench 'Imbalance|Flood|^BenchmarkChange' 2x
