Send the engine's learn messages

Cause: the engine announces flows whose first group has changed with Output.Learn, which was added after the control loop was written, so they were never sent and quiet flows were found only by asking.

Ruled out: the wire; learn messages of the data plane use the same encoding.

Change: the loop sends them; the test of outputs compares its list with the fields of Output.

Conclusion: TestOutputs fails without the change (one learn message instead of two).

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -154,6 +154,8 @@
 	switch {
 	case o.Heartbeat != nil:
 		l.send(o.To, &wire.Message{Heartbeat: o.Heartbeat})
+	case o.Learn != nil:
+		l.send(o.To, &wire.Message{Learn: o.Learn})
 	case o.Copies != nil:
 		l.send(o.To, &wire.Message{Copies: o.Copies})
 	case o.Reset != nil:
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -132,10 +133,15 @@
 		{To: to, Pull: &message.PullRequest{From: 1}},
 		{To: to, Fetch: true},
 		{Reset: &flow.Reset{}},
+		{To: to, Learn: &message.Learn{From: 1}},
+	}
+	// A field that is added to Output has to be added here and in carryOut.
+	if fields := reflect.TypeFor[engine.Output]().NumField(); fields != len(p.engines[0].outs)+1 {
+		t.Errorf("Output has %d kinds of work, the test %d", fields-1, len(p.engines[0].outs))
 	}
 	p.engines[0].mu.Unlock()
 	p.loops[0].Learn(to, message.Learn{From: 1})
-	p.engines[1].expect(t, "heartbeat", "learn")
+	p.engines[1].expect(t, "heartbeat", "learn", "learn")
 	p.engines[0].expect(t, "ack", "fetch", "pull failed", "reset")
 }
 
