Guess no default host until a healed domain's claims are known

Cause: when a cut between domains heals in one direction first, instances of the far side take over groups whose hosts answer their probes.

Ruled out: the probes; taking the groups over is right when only the instances of a domain are gone.

Change: the view stays partitioned for three heartbeat intervals after the last silent domain was heard again.

Figures: TestCutDomain fails without the change at the first heartbeat.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -50,6 +50,9 @@
 	// claimDelay is the time from becoming ready to the first claim of a group
 	// that nobody claims: one heartbeat interval and half of it for delay.
 	claimDelay = BaseInterval * 3 / 2
+	// healIntervals is how many heartbeat intervals after a partition the
+	// claims of the other side may be unknown; two heartbeats may be lost.
+	healIntervals = 3
 	// freshLimit bounds how long a joining instance waits for a snapshot that
 	// a peer announces, since the peer may go before it can be fetched.
 	freshLimit = 10 * time.Second
@@ -106,7 +109,8 @@
 	State    message.State
 	Stale    bool
 	Snapshot *snapshot.Snapshot
-	// Partitioned is true while a listed domain is not heard of.
+	// Partitioned is true while a listed domain is not heard of, and for a few
+	// intervals after.
 	Partitioned bool
 	// floor is the oldest version in force at an instance that is alive, and
 	// since when each recent version is in force here.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -230,4 +230,11 @@
 	r.expect("target is set", v.Owners[g].Target != nil, false)
 	r.hear(3, message.Ready, message.Claim{Group: g, Epoch: 9})
 	r.expect("target after a claim", r.m.View().Owners[g].Target.ID, snapshot.InstanceID(3))
+	// One instance is heard again, the other may hold the flows.
+	r.hear(2, message.Ready)
+	r.expect("partitioned at the first heartbeat", r.m.View().Partitioned, true)
+	r.pass(healIntervals*BaseInterval-50*time.Millisecond, 2, 3, 4)
+	r.expect("partitioned until claims are known", r.m.View().Partitioned, true)
+	r.pass(50*time.Millisecond, 2, 3, 4)
+	r.expect("partitioned in the end", r.m.View().Partitioned, false)
 }
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -59,6 +59,12 @@
 	lost     []message.Claim
 	ready    time.Duration // when the state became Ready
 
+	// cut is whether a domain was silent at the last view, and healing until
+	// when its claims may still be unknown after it was heard again.
+	cut     bool
+	healing time.Duration
+	clock   time.Duration // of the last heartbeat or tick
+
 	lastTick  time.Duration
 	stale     bool
 	woke      time.Duration
@@ -167,6 +173,7 @@
 	if h.Boot > p.boot && p.boot != 0 {
 		t.forget(h.From)
 	}
+	t.clock = max(t.clock, now)
 	p.heard, p.boot, p.seq, p.last = true, h.Boot, h.Seq, now
 	p.every = BaseInterval
 	if h.Every > 0 {
@@ -241,11 +248,14 @@
 	if now-t.lastTick > StaleGap {
 		t.wake(now)
 	}
-	t.lastTick = now
+	t.lastTick, t.clock = now, now
 	if t.snap == nil {
 		return
 	}
 	t.judge(now)
+	if t.healing != 0 && now >= t.healing {
+		t.healing, t.dirty = 0, true
+	}
 	if t.stale && t.fresh(now) {
 		t.stale, t.sinceWoke = false, nil
 		t.dirty = true
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -80,7 +80,7 @@
 	v := &View{
 		Self: t.cfg.Self, State: t.state, Stale: t.stale,
 		Snapshot: t.snap, Reranked: t.reranked,
-		Partitioned: t.partitioned(), floor: t.floor, taken: t.taken, moves: t.moves,
+		Partitioned: t.unsure(), floor: t.floor, taken: t.taken, moves: t.moves,
 		Peers:    make(map[snapshot.InstanceID]*Peer, len(t.peers)),
 		Owners:   make(map[snapshot.GroupID]*Ownership, len(t.snap.Groups)),
 		services: make(map[snapshot.ServiceID][]*Ownership, len(t.snap.Services)),
@@ -115,6 +115,24 @@
 	return v
 }
 
+// unsure reports whether a domain is cut off, or was so until a moment ago. The
+// first heartbeat after a cut may come from any instance of the domain; those
+// that hold the flows, and say so in their claims, may be heard an interval later.
+func (t *Tracker) unsure() bool {
+	cut := t.partitioned()
+	if t.cut && !cut {
+		every := BaseInterval
+		for _, p := range t.peers {
+			if p.heard {
+				every = max(every, p.every)
+			}
+		}
+		t.healing = t.clock + healIntervals*every
+	}
+	t.cut = cut
+	return cut || t.healing != 0
+}
+
 // partitioned reports whether all instances of a listed domain are silent.
 func (t *Tracker) partitioned() bool {
 	alive := map[snapshot.DomainID]bool{t.cfg.Domain: true}
