Copy flows 200 ms before they are two seconds old

Cause: a copy left on the tick after the flow was 2 s old, so that a flow of exactly 2.0 s broke with its owner although the target excludes it.

Ruled out: sending copies outside the tick; the batch would still be under way.

Change: the age is 1.8 s. The test demanded no copy at 1.9 s and all at 3 s; it now demands none at 1.75 s and all at 1.85 s, which is the narrower bound.

--- a/core/group/copies.go
+++ b/core/group/copies.go
@@ -11,8 +11,9 @@
 
 const (
 	// copyAge is the age below which flows are not copied: most flows are
-	// shorter, and the control budget does not allow for them.
-	copyAge = 2 * time.Second
+	// shorter, and the control budget does not allow for them. It leaves a
+	// batch 200 ms to be sent, so that flows of 2 s survive a death.
+	copyAge = 1800 * time.Millisecond
 	// copyTimeout is the time after which a batch is sent again. It is well
 	// above the round trip between any two domains.
 	copyTimeout = 500 * time.Millisecond
--- a/core/group/limits_test.go
+++ b/core/group/limits_test.go
@@ -234,8 +234,9 @@
 		return n
 	}
 	g.Expect(off).To(BeNumerically(">", 0))
-	g.Expect(count(1900 * time.Millisecond)).To(BeZero())
-	g.Expect(count(3 * time.Second)).To(Equal(off))
+	g.Expect(count(1750 * time.Millisecond)).To(BeZero())
+	// A flow of 2 s must survive the owner's death, so its copy is on its way before.
+	g.Expect(count(1850 * time.Millisecond)).To(Equal(off))
 	g.Expect(count(time.Minute)).To(BeZero())
 	for n := range 60 {
 		tab.Packet(time.Minute, request(feed, n, flow.RST, 101, 0, 0))
