--- a/core/group/expire.go
+++ b/core/group/expire.go
@@ -21,7 +21,7 @@
 	// closedIdle covers packets that arrive late, after the end of the flow.
 	closedIdle = 2 * time.Second
 	// slotIdle is how long a request must have been without packets of its
-	// caller before its slot is released on the host's word, longer than the
+	// caller before its slot is released on the host's report, longer than the
 	// usual lag of load reports.
 	slotIdle = 5 * time.Second
 	// defaultIdle is used for kinds that are no longer configured.
@@ -32,9 +32,9 @@
 	sweepPart = 200
 	sweepMin  = 64
 	sweepMax  = 8192 // slots; bounds the pause of one call
-	// sweepHurry is how many times faster entries are visited while a host
+	// sweepSpeedup is how many times faster entries are visited while a host
 	// denies requests that are counted on it.
-	sweepHurry = 10
+	sweepSpeedup = 10
 )
 
 // idle returns how long the flow may go without packets.
@@ -63,7 +63,7 @@
 	t.resets = nil
 	n := max(sweepMin, t.flows.Slots()/sweepPart)
 	if t.hosts.Denied(now) {
-		n *= sweepHurry
+		n *= sweepSpeedup
 	}
 	n = min(n, sweepMax)
 	stamp := table.StampOf(now)
--- a/core/group/machine_test.go
+++ b/core/group/machine_test.go
@@ -307,12 +307,12 @@
 	})
 	out := 0
 	for _, s := range m.tab.Stats(m.now).Hosts {
-		if s.Why == "draining by its own word" || s.Why == "health probe failed" {
+		if s.Why == "draining by its own report" || s.Why == "health probe failed" {
 			out++
 		}
 	}
 	if out*2 > len(m.fleet.ids) {
-		t.Fatalf("%d of %d hosts are out on their own word", out, len(m.fleet.ids))
+		t.Fatalf("%d of %d hosts are out by their own reports", out, len(m.fleet.ids))
 	}
 }
 
--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -53,7 +53,7 @@
 		t.observeACK(now, e, p)
 	}
 	if p.PayloadLen > 0 && e.State() == table.Established && !e.Has(table.Counted) {
-		t.count(e) // its slot was released on the host's word
+		t.count(e) // its slot was released on the host's report
 	}
 	if p.Flags.Has(flow.FIN) && e.State() < table.Closing {
 		t.finish(now, e)
--- a/core/place/host.go
+++ b/core/place/host.go
@@ -62,13 +62,13 @@
 	warmStart time.Duration // when slow start began
 	warming   bool
 
-	report     message.LoadReport
-	reportedAt time.Duration
-	excess     float64 // reported load beyond the owner's own count
-	missed     int
-	wordSince  time.Duration // since when its own word is against it
-	wordBad    bool
-	wordOut    bool // taken out on its own word
+	report          message.LoadReport
+	reportedAt      time.Duration
+	excess          float64 // reported load beyond the owner's own count
+	missed          int
+	unfitSince      time.Duration // since when its own report is against it
+	reportsUnfit    bool
+	removedByReport bool // taken out by its own report
 
 	fails        [2]int // consecutive failed new flows, by Failure
 	ejections    int
@@ -101,9 +101,9 @@
 		return "not in the group"
 	case h.State == snapshot.HostDraining:
 		return "draining"
-	case h.wordOut && h.report.Draining:
-		return "draining by its own word"
-	case h.wordOut:
+	case h.removedByReport && h.report.Draining:
+		return "draining by its own report"
+	case h.removedByReport:
 		return "health probe failed"
 	case h.ejected:
 		return "ejected"
@@ -113,7 +113,7 @@
 
 // Usable reports whether the host takes new flows.
 func (h *Host) Usable() bool {
-	return h.listed && h.State != snapshot.HostDraining && !h.wordOut && !h.ejected
+	return h.listed && h.State != snapshot.HostDraining && !h.removedByReport && !h.ejected
 }
 
 // slowStart returns the part of its capacity that a host may use now.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -129,26 +129,26 @@
 		}
 	}
 	bad := h.report.Draining || h.missed >= probeMisses
-	if bad && !h.wordBad {
-		h.wordSince = now
+	if bad && !h.reportsUnfit {
+		h.unfitSince = now
 	}
-	h.wordBad = bad
+	h.reportsUnfit = bad
 	s.review()
 }
 
-// review settles which hosts are out on their own word: the first to say so,
+// review settles which hosts are out by their own reports: the first to say so,
 // up to half of the group.
 func (s *Set) review() {
 	var said []*Host
 	for _, h := range s.hosts {
-		h.wordOut = false
-		if h.listed && h.wordBad {
+		h.removedByReport = false
+		if h.listed && h.reportsUnfit {
 			said = append(said, h)
 		}
 	}
-	slices.SortStableFunc(said, func(a, b *Host) int { return cmp.Compare(a.wordSince, b.wordSince) })
+	slices.SortStableFunc(said, func(a, b *Host) int { return cmp.Compare(a.unfitSince, b.unfitSince) })
 	for _, h := range said[:min(len(said), s.size()/2)] {
-		h.wordOut = true
+		h.removedByReport = true
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -105,7 +105,7 @@
 		}
 	}
 	g.Expect(usable).To(Equal(3))
-	g.Expect(s.Find(5).Why()).To(Equal("draining by its own word"), "the first to say so")
+	g.Expect(s.Find(5).Why()).To(Equal("draining by its own report"), "the first to say so")
 	s.Report(time.Minute, 5, message.LoadReport{})
 	g.Expect(s.Find(5).Usable()).To(BeTrue())
 	g.Expect(s.Find(3).Usable()).To(BeFalse(), "the next in line")
--- a/core/place/release.go
+++ b/core/place/release.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// reportFresh is the age up to which a report can release slots: three
-	// probes, one of which may be lost.
+	// reportFresh is the age up to which a report can release slots. Probes
+	// run once a second.
 	reportFresh = 3 * time.Second
 	// releaseWindow and the host's places bound what reports release, since a
 	// host that always tells too little must not be flooded.
 	releaseWindow = time.Minute
 )
 
-// release counts the slots released on the host's word in the present window.
+// release counts the slots released on the host's report in the present window.
 type release struct {
 	since time.Duration
 	slots int
@@ -34,7 +34,7 @@
 	return h.InProgress > 0 && h.Slotted() > running && h.released.slots < h.places()
 }
 
-// Release notes that a slot was released on the host's word.
+// Release notes that a slot was released on the host's report.
 func (h *Host) Release() { h.released.slots++ }
 
 // Denied reports whether any host denies requests that are counted on it.
