Make the queueing model a package with a command

Cause: the model of placing and admission stood in test files of core/group, a second, smaller one in testkit/bench, and make bench ran only the smaller one, without groups of 3 and 8, two choices, odd hosts and several kinds of work.

Change: testkit/queueing holds the model; its benchmarks, make bench and the new command egrettack-testkit queueing use it.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -24,7 +24,9 @@
 	bench ./node/dataplane Loopback 1s
 	bench ./node/platform . 1x
 	bench ./settings/published . 0.5s
-	bench ./testkit/bench 'Imbalance|Flood|^BenchmarkChange' 2x
+	bench ./core/group 'New|Esta|Miss|Tick' 0.5s
+	bench ./testkit/queueing . 1x
+	bench ./testkit/bench '^BenchmarkChange' 2x
 	bench ./testkit/bench 'FlowState|EncodedPeers' 1x
 	bench ./testkit/bench ViewChange 0.3s
 fi
--- a/scripts/bench_page.sh
+++ b/scripts/bench_page.sh
@@ -17,9 +17,9 @@
 $(date -u +%Y-%m-%d), with $(go version | cut -d' ' -f3). Nothing is checked against an absolute time
 of an earlier run; a bound is a count or a ratio to a stated target.
 
-\`ControlX\`, \`PlatformX\` and \`InForce\` start real daemons on loopback. \`Change\`, \`Imbalance\`,
-\`Flood\`, \`FlowState\`, \`EncodedPeers\` and \`ViewChange\` run engines in one process, all but the last in
-virtual time. Bytes are UDP or TCP payload, in \`EncodedPeers\` with IP and UDP headers.
+\`ControlX\`, \`PlatformX\` and \`InForce\` start real daemons on loopback. \`Change\`, \`FlowState\`,
+\`EncodedPeers\` and \`ViewChange\` run engines in one process, all but the last in virtual time.
+\`Imbalance\` and \`Flood\` run the queueing model of \`testkit/queueing\` on the real group tables. Bytes are UDP or TCP payload, in \`EncodedPeers\` with IP and UDP headers.
 
 ## Against targets and baselines
 
@@ -45,7 +45,7 @@
 			split($4, w, "="); other = $1; sub(w[1], w[2], other)
 			base = (other, $2) in value ? value[other, $2] : "not run"
 		}
-		target = $3; sub(/<=/, "at most ", target)
+		target = $3; sub(/<=/, "at most ", target); sub(/>=/, "at least ", target)
 		printf "| %s | %s | %s | %s | %s | %s | %s |\n", $1, $2, v, target, part, base, $5
 	}' "$results" "$targets"
 	cat <<END
--- a/testkit/cmd/egrettack-testkit/main.go
+++ b/testkit/cmd/egrettack-testkit/main.go
@@ -45,6 +45,7 @@
 		{"publish", "publish the content of files", &publishCommand{}},
 		{"put", "set a fault in a stand-in", &putCommand{}},
 		{"await", "wait until URLs answer", &awaitCommand{}},
+		{"queueing", "run the queueing model of placing and admission", &queueingCommand{}},
 		{"garbage", "send invalid datagrams and bytes to all ports of an instance", &garbageCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.short, c.command); err != nil {
--- a/core/group/flood_test.go
+++ b/testkit/queueing/flood.go
@@ -1,8 +1,6 @@
-package group_test
+package queueing
 
 import (
-	"fmt"
-	"testing"
 	"time"
 
 	"egrettack.example/core/snapshot"
@@ -23,13 +21,6 @@
 // shares are the guaranteed parts of the places.
 var shares = [numKinds]float64{ticket: 0.25, quick: 0.25, upload: 0.2, photo: 0.2}
 
-// setting is one way to run the fleet.
-type setting struct {
-	name  string
-	queue int
-	kinds func() []*snapshot.Kind
-}
-
 func floodKinds() []*snapshot.Kind {
 	slot := func(id snapshot.KindID, class uint8, deadline time.Duration) *snapshot.Kind {
 		return &snapshot.Kind{
@@ -168,7 +159,7 @@
 	return time.Duration(last+1) * window
 }
 
-func runFlood(seed uint64, demand float64, s setting, flooded ...snapshot.KindID) *floodRun {
+func runFlood(seed uint64, demand float64, s Fleet, flooded ...snapshot.KindID) *floodRun {
 	spec := snapshot.Host{Slots: 2, Queue: s.queue, Connections: 1_000_000}
 	r := &floodRun{m: newModel(seed, 15, 5, spec, s.kinds()), flooded: map[snapshot.KindID]bool{}, demand: demand}
 	for _, k := range flooded {
@@ -193,39 +184,6 @@
 
 func (c *phase) p99() float64 { return float64(percentile(c.took, 0.99).Microseconds()) / 1000 }
 
-// BenchmarkFlood reports, for floods of ten times the fleet's capacity, what
-// the other kinds keep: goodput in percent of that before the flood, p99
-// during and before it, the useful part of the fleet's work, and the time
-// until requests are normal again.
-func BenchmarkFlood(b *testing.B) {
-	floods := map[string][]snapshot.KindID{
-		"photo+upload":  {photo, upload},
-		"ticket+lookup": {ticket, quick},
-	}
-	for name, flooded := range floods {
-		for _, s := range []setting{
-			{name: "no-admission", queue: 1_000_000, kinds: sameKinds(0)},
-			{name: "host-limit", queue: 4, kinds: sameKinds(0)},
-			{name: "egrettack", queue: 4, kinds: floodKinds},
-		} {
-			for _, demand := range []float64{0.5, 0.75} {
-				b.Run(fmt.Sprintf("%s/%s/demand=%.2f", name, s.name, demand), func(b *testing.B) {
-					sums := map[string]float64{}
-					seed := uint64(0)
-					for b.Loop() {
-						seed++
-						runFlood(seed, demand, s, flooded...).addTo(sums)
-					}
-					for unit, sum := range sums {
-						b.ReportMetric(sum/float64(b.N), unit)
-					}
-					b.ReportMetric(0, "ns/op")
-				})
-			}
-		}
-	}
-}
-
 func (r *floodRun) addTo(sums map[string]float64) {
 	for k := ticket; k < numKinds; k++ {
 		if r.flooded[k] {
--- a/core/group/imbalance_test.go
+++ b/testkit/queueing/imbalance.go
@@ -1,9 +1,7 @@
-package group_test
+package queueing
 
 import (
-	"fmt"
 	"math"
-	"testing"
 	"time"
 
 	"egrettack.example/core/flow"
@@ -12,6 +10,12 @@
 	"egrettack.example/core/snapshot"
 )
 
+// Kinds of the imbalance model.
+const (
+	feed snapshot.KindID = iota + 1
+	lookup
+)
+
 const (
 	meanService = 12 * time.Millisecond
 	modelFeeds  = 22_500 // on average, 1,500 for each of 15 hosts
@@ -60,40 +64,6 @@
 	}
 }
 
-// BenchmarkImbalance reports, for 15 hosts of 2 slots of which one starts cold,
-// one runs at half speed, one always reports full load and one none: the p99
-// sojourn time of lookups, and the highest over the mean of connections (each
-// second) and of requests in progress (over the time).
-func BenchmarkImbalance(b *testing.B) {
-	variants := []struct {
-		name string
-		size int
-		pick func() picker
-	}{
-		{"hash", 5, func() picker { return byHash }},
-		{"two-choices", 5, byTwoChoices},
-		{"groups-of-3", 3, func() picker { return byGroups }},
-		{"groups-of-5", 5, func() picker { return byGroups }},
-		{"groups-of-8", 8, func() picker { return byGroups }},
-		{"global", 15, func() picker { return byGroups }},
-	}
-	for _, load := range []float64{0.60, 0.85} {
-		for _, odd := range []bool{false, true} {
-			for _, v := range variants {
-				b.Run(fmt.Sprintf("load=%.0f%%/odd-hosts=%v/%s", load*100, odd, v.name), func(b *testing.B) {
-					var sum imbalance
-					seed := uint64(0)
-					for b.Loop() {
-						seed++
-						sum.add(measureImbalance(seed, load, odd, v.size, v.pick()))
-					}
-					sum.report(b)
-				})
-			}
-		}
-	}
-}
-
 // imbalance is one measurement, or the sum of several.
 type imbalance struct{ p99, conns, slots, refused, spilled, copied, runs float64 }
 
@@ -107,14 +77,15 @@
 	s.runs++
 }
 
-func (s *imbalance) report(b *testing.B) {
-	b.ReportMetric(s.p99/s.runs, "p99-ms")
-	b.ReportMetric(s.conns/s.runs, "conns-high/mean")
-	b.ReportMetric(s.slots/s.runs, "slots-high/mean")
-	b.ReportMetric(s.refused/s.runs, "refused-%")
-	b.ReportMetric(s.spilled/s.runs, "spilled-%")
-	b.ReportMetric(s.copied/s.runs, "copied-feeds-%")
-	b.ReportMetric(0, "ns/op") // the time the model takes means nothing
+func (s *imbalance) metrics() []Metric {
+	return []Metric{
+		{"p99-ms", s.p99 / s.runs},
+		{"conns-high/mean", s.conns / s.runs},
+		{"slots-high/mean", s.slots / s.runs},
+		{"refused-%", s.refused / s.runs},
+		{"spilled-%", s.spilled / s.runs},
+		{"copied-feeds-%", s.copied / s.runs},
+	}
 }
 
 func measureImbalance(seed uint64, load float64, odd bool, size int, pick picker) imbalance {
@@ -191,7 +162,7 @@
 					copied++
 				}
 			}
-			t.Acknowledge(ackOf(&b))
+			t.Acknowledge(message.CopyAck{Group: b.Group, Epoch: b.Epoch, Seq: b.Seq})
 		}
 	}
 	return 100 * float64(copied) / float64(max(1, conns))
--- a/core/group/model_test.go
+++ b/testkit/queueing/model.go
@@ -1,4 +1,8 @@
-package group_test
+// Package queueing is a discrete-event model of one service: callers, hosts that
+// run requests first come, first served, and the real group tables of core/group
+// that place the flows. It measures imbalance and floods in virtual time, beside
+// baselines that place without knowledge or without admission.
+package queueing
 
 import (
 	"container/heap"
@@ -212,7 +216,11 @@
 // open places a flow.
 func (m *model) open(kind snapshot.KindID) (placed, bool) {
 	m.nextKey++
-	k := key(feed, m.nextKey)
+	n := m.nextKey
+	k := flow.Key{
+		Src: flow.Addr(0x0a000000 + n>>14), SrcPort: uint16(1024 + n&0x3fff),
+		Dst: 0x0a090001, DstPort: 7000 + uint16(feed), Proto: flow.TCP,
+	}
 	k.DstPort = 7000 + uint16(kind)
 	p, ok := m.pick(m, k, kind)
 	if !ok {
