Name the data plane's decider plainly and finish package comments

Cause: a newcomer's reading found the interface Brain, two package comments that only pointed to the design page, and a lock order that left out Engine.mu.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -1,10 +1,10 @@
-// Package engine is the brain of one instance: packets, control messages and
+// Package engine makes all decisions of one instance: packets, control messages and
 // the time go in, actions come out. It joins the snapshot, the membership view
 // and the tables of owned groups, and does no I/O, so that tests can run many
 // engines against one another.
 //
-// Locks: the snapshot and the view are atomic pointers and are read first.
-// Then at most one group mutex is held, never two.
+// Locks: the snapshot and the view are atomic pointers and are read first. Then
+// Engine.mu, which Packet never takes, and last at most one group mutex.
 package engine
 
 import (
--- a/node/dataplane/order_test.go
+++ b/node/dataplane/order_test.go
@@ -14,7 +14,7 @@
 	"egrettack.example/wire/geneve"
 )
 
-// toHost is a Brain that sends every packet to one host.
+// toHost is a Decider that sends every packet to one host.
 type toHost struct{ host *snapshot.Host }
 
 func (b toHost) Packet(time.Duration, *flow.Packet, *engine.Relay) engine.Action {
@@ -27,7 +27,7 @@
 	const packets, seqOff = 5000, geneve.HeaderLen + ip4Len + 4
 	in, sink, out := listen(t), listen(t), listen(t)
 	plane := New(Config{
-		Conn: in, Brain: toHost{&snapshot.Host{Tunnel: addrOf(sink)}}, Workers: 4, Metrics: metrics.New(),
+		Conn: in, Decider: toHost{&snapshot.Host{Tunnel: addrOf(sink)}}, Workers: 4, Metrics: metrics.New(),
 		Now: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/dataplane/plane.go
+++ b/node/dataplane/plane.go
@@ -30,15 +30,15 @@
 // scheduled; the kernel may grant less.
 const socketBuffer = 4 << 20
 
-// Brain decides on packets; *engine.Engine is one.
-type Brain interface {
+// Decider decides on packets; *engine.Engine is one.
+type Decider interface {
 	Packet(now time.Duration, p *flow.Packet, relay *engine.Relay) engine.Action
 }
 
 // Config of a Plane. All fields but Tracer are needed.
 type Config struct {
 	Conn    *net.UDPConn
-	Brain   Brain
+	Decider Decider
 	Domain  snapshot.DomainID // whose view of addresses is used
 	Egress  netip.AddrPort    // gets the resets for callers
 	Workers int
--- a/node/dataplane/verdict_test.go
+++ b/node/dataplane/verdict_test.go
@@ -19,7 +19,7 @@
 	"egrettack.example/wire/ip4"
 )
 
-// script is a Brain that gives one answer and records the question.
+// script is a Decider that gives one answer and records the question.
 type script struct {
 	action engine.Action
 	packet flow.Packet
@@ -66,9 +66,9 @@
 		{"drop", engine.Action{Verdict: engine.Drop, Reason: group.ReasonUnknown, LearnTo: &snapshot.Instance{ID: 3}}, nil, geneve.Header{}, nil},
 	} {
 		t.Run(c.verdict, func(t *testing.T) {
-			brain := &script{action: c.action}
+			decider := &script{action: c.action}
 			plane := New(Config{
-				Conn: listen(t), Brain: brain, Domain: 1, Egress: addrOf(egress), Metrics: metrics.New(), Log: slog.New(slog.DiscardHandler),
+				Conn: listen(t), Decider: decider, Domain: 1, Egress: addrOf(egress), Metrics: metrics.New(), Log: slog.New(slog.DiscardHandler),
 				Learn: func(to *snapshot.Instance, _ message.Learn) { learned = append(learned, to.ID) },
 			})
 			w, err := plane.newWorker(0)
@@ -78,8 +78,8 @@
 			defer w.close()
 			w.one(0, append(w.bufs[0][:headroom], in...), len(in))
 			w.flush()
-			if want := packet(5, flow.SYN); brain.packet != want || brain.relay != nil {
-				t.Errorf("asked about %+v, %+v", brain.packet, brain.relay)
+			if want := packet(5, flow.SYN); decider.packet != want || decider.relay != nil {
+				t.Errorf("asked about %+v, %+v", decider.packet, decider.relay)
 			}
 			if n := testutil.ToFloat64(plane.cfg.Metrics.Packets.WithLabelValues(c.verdict, string(c.action.Reason))); n != 1 {
 				t.Errorf("counted %v times", n)
--- a/node/dataplane/worker.go
+++ b/node/dataplane/worker.go
@@ -185,7 +185,7 @@
 	if w.header.Relayed {
 		relay = &w.header.Relay
 	}
-	return w.plane.cfg.Brain.Packet(now, &w.packet, relay)
+	return w.plane.cfg.Decider.Packet(now, &w.packet, relay)
 }
 
 // act carries out the engine's decision on the datagram in buf.
--- a/node/node.go
+++ b/node/node.go
@@ -237,7 +237,7 @@
 		Now: n.now, Reset: func(r *flow.Reset) error { return plane.Reset(r) }, Metrics: n.metrics, Log: n.log,
 	})
 	plane = dataplane.New(dataplane.Config{
-		Conn: n.data, Brain: e, Domain: n.domain, Egress: n.settings.Egress, Workers: n.settings.Workers,
+		Conn: n.data, Decider: e, Domain: n.domain, Egress: n.settings.Egress, Workers: n.settings.Workers,
 		Now: n.now, Learn: loop.Learn, Metrics: n.metrics, Tracer: n.tracer, Log: n.log,
 	})
 	probes := prober.New(prober.Config{Engine: e, Now: n.now, Metrics: n.metrics, Log: n.log})
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -24,6 +24,7 @@
 	bench ./node/dataplane Loopback 1s
 	bench ./node/platform . 1x
 	bench ./settings/published . 0.5s
+	bench ./core/engine Packet 0.5s
 	bench ./core/group 'New|Esta|Miss|Tick' 0.5s
 	bench ./testkit/queueing . 1x
 	bench ./testkit/bench '^BenchmarkChange' 2x
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,2 +1,3 @@
-// Package settings is documented in docs/design.md, section 4.
+// Package settings checks that docs/settings.md describes every field of the
+// tree, the lists and the daemon's settings. The readers are in its sub-packages.
 package settings
--- a/wire/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package wire is documented in docs/design.md, section 4.
-package wire
