--- a/scripts/bench_page.sh
+++ b/scripts/bench_page.sh
@@ -13,13 +13,14 @@
 
 \`make bench\` writes this page. It runs \`scripts/bench.sh\`; \`PART=local\` leaves out the benchmarks
 with real daemons; one row repeats with \`BIN=\$PWD/.bin go test -run '^\$' -bench NAME -benchtime 1x PACKAGE\`.
-The last run was on $cores cores of a machine that other work shared, on
+The last run was on $cores cores, on
 $(date -u +%Y-%m-%d), with $(go version | cut -d' ' -f3). Nothing is checked against an absolute time
 of an earlier run; a bound is a count or a ratio to a stated target.
 
 \`ControlX\`, \`PlatformX\` and \`InForce\` start real daemons on loopback. \`Change\`, \`FlowState\`,
 \`EncodedPeers\` and \`ViewChange\` run engines in one process, all but the last in virtual time.
-\`Imbalance\` and \`Flood\` run the queueing model of \`testkit/queueing\` on the real group tables. Bytes are UDP or TCP payload, in \`EncodedPeers\` with IP and UDP headers.
+\`Imbalance\` and \`Flood\` run the queueing model of \`testkit/queueing\` on the real group tables.
+Bytes are UDP or TCP payload, in \`EncodedPeers\` with IP and UDP headers.
 
 ## Against targets and baselines
 
