--- a/core/engine/stale_test.go
+++ b/core/engine/stale_test.go
@@ -157,19 +157,25 @@
 	}
 }
 
-// Guards against packets of an address that has moved being placed by the
-// older of two snapshots, and by an instance that has the older one.
-func TestNewerSnapshotDecidesOnRelayedPackets(t *testing.T) {
-	in := startInput(1, 1, 3)
+// aroundMove builds the snapshots before and after the moving endpoint changes
+// its service.
+func aroundMove(t *testing.T, in snapshot.Input) (before, after *snapshot.Snapshot) {
+	t.Helper()
 	before, err := snapshot.New(in, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	in.Version, in.Services = 2, services(true)
-	after, err := snapshot.New(in, before)
-	if err != nil {
+	if after, err = snapshot.New(in, before); err != nil {
 		t.Fatal(err)
 	}
+	return before, after
+}
+
+// Guards against packets of an address that has moved being placed by the
+// older of two snapshots, and by an instance that has the older one.
+func TestNewerSnapshotDecidesOnRelayedPackets(t *testing.T) {
+	before, after := aroundMove(t, startInput(1, 1, 3))
 	e := New(0, Config{Self: 1, Domain: 1, Boot: 1})
 	e.SetSnapshot(0, before)
 	now := time.Duration(0)
@@ -201,16 +207,7 @@
 // Guards against a new flow to an address that has moved while a live instance
 // does not know of the move: it would place the flow's SYN in the old service.
 func TestMovedAddressWaitsForAll(t *testing.T) {
-	in := startInput(1, 2, 3)
-	before, err := snapshot.New(in, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	in.Version, in.Services = 2, services(true)
-	after, err := snapshot.New(in, before)
-	if err != nil {
-		t.Fatal(err)
-	}
+	before, after := aroundMove(t, startInput(1, 2, 3))
 	e := New(0, Config{Self: 1, Domain: 1, Boot: 1})
 	e.SetSnapshot(0, before)
 	now, seq := time.Duration(0), uint64(0)
