--- /dev/null
+++ b/cmd/egrettack-edge/main.go
@@ -0,0 +1,90 @@
+// Command egrettack-edge is one instance of the load balancer with affinity by
+// token, on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	instance "egrettack.example/node/edge"
+	"egrettack.example/node/logging"
+	"egrettack.example/platform"
+	"egrettack.example/settings/edge"
+)
+
+type options struct {
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file of this instance"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+}
+
+// gcPercent makes the collector run when the heap has grown by half; the heap
+// is small, and memory is dearer to the users than the work.
+const gcPercent = 50
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	s, err := edge.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "egrettack-edge:", err)
+		return exitUsage
+	}
+	if o.Check {
+		fmt.Println(o.Settings, "is valid")
+		return 0
+	}
+	return serve(s)
+}
+
+func serve(s *edge.Settings) int {
+	debug.SetGCPercent(gcPercent)
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		fmt.Fprintln(os.Stderr, "egrettack-edge: log_level:", err)
+		return exitUsage
+	}
+	out := logging.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, level).With("instance", s.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	i, err := instance.New(instance.Options{
+		Settings: s,
+		Packets:  platform.NewPackets(s.Packets.Port()),
+		Store: func(calls func(string, error)) instance.Store {
+			return platform.NewStore(s.Store, log, calls)
+		},
+		Log: log, LogLost: out.Dropped,
+	})
+	if err != nil {
+		log.Error("start failed", "error", err)
+		return exitFailed
+	}
+	if err := i.Run(ctx); err != nil {
+		log.Error("stopped by a failure", "error", err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,273 @@
+package catalog
+
+import (
+	"net/netip"
+	"time"
+
+	"egrettack.example/core/token"
+)
+
+const (
+	// goneAfter is how long an entry must be missing from a store in good
+	// state before its server counts as gone: servers that live are back in
+	// the store about 2 s after its return.
+	goneAfter = 2500 * time.Millisecond
+	// keepMissing is how long a server without an entry is remembered, so that
+	// the packets of its flows are delivered or refused: the longest life of a
+	// flow.
+	keepMissing = 60 * time.Second
+	// storeGap is the longest time between two good reads that count as one
+	// span of good state: three intervals between reads.
+	storeGap = 2 * time.Second
+)
+
+// Catalog is the merged knowledge of one instance. It is not safe for
+// concurrent use.
+type Catalog struct {
+	config   *Config
+	routes   map[netip.AddrPort]*Route
+	former   map[netip.AddrPort][]string // services that present routes led to before
+	revision Revision
+	loaded   bool // a whole list of servers was taken
+
+	servers  map[ServerID]*Server // the latest start of each
+	byToken  map[token.Token]*Server
+	services map[string][]*Server // published, in no order
+
+	asOf      time.Duration // the store was at revision or before at this time
+	goodSince time.Duration // start of the present span of good reads
+}
+
+// New returns an empty catalog.
+func New() *Catalog {
+	return &Catalog{
+		routes:   make(map[netip.AddrPort]*Route),
+		former:   make(map[netip.AddrPort][]string),
+		servers:  make(map[ServerID]*Server),
+		byToken:  make(map[token.Token]*Server),
+		services: make(map[string][]*Server),
+	}
+}
+
+// Complete reports whether the catalog has a configuration and a whole list of
+// servers.
+func (c *Catalog) Complete() bool { return c.config != nil && c.loaded }
+
+// Loaded reports whether a whole list of servers was taken.
+func (c *Catalog) Loaded() bool { return c.loaded }
+
+// Config returns the configuration in force, nil before the first.
+func (c *Catalog) Config() *Config { return c.config }
+
+// Version returns the version in force, 0 before the first.
+func (c *Catalog) Version() Version {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+// Revision returns the position up to which the catalog is complete.
+func (c *Catalog) Revision() Revision { return c.revision }
+
+// AsOf returns the time at which the catalog was known to be current.
+func (c *Catalog) AsOf() time.Duration { return c.asOf }
+
+// GoodSince returns since when the store has been read without a gap.
+func (c *Catalog) GoodSince() time.Duration { return c.goodSince }
+
+// Route returns the route of an address, nil if there is none.
+func (c *Catalog) Route(dest netip.AddrPort) *Route { return c.routes[dest] }
+
+// MayLead reports whether flows of the route may be open at servers of the
+// service, by this configuration or a former one that this instance has seen.
+func (c *Catalog) MayLead(r *Route, service string) bool {
+	if r.Leads(service) {
+		return true
+	}
+	for _, s := range c.former[r.Dest] {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Service returns the published servers of a service. The slice must not be
+// changed.
+func (c *Catalog) Service(name string) []*Server { return c.services[name] }
+
+// ByToken returns the server that a token names, nil if it is not known.
+func (c *Catalog) ByToken(t token.Token) *Server { return c.byToken[t] }
+
+// Servers calls f for the latest start of each server.
+func (c *Catalog) Servers(f func(*Server)) {
+	for _, s := range c.servers {
+		f(s)
+	}
+}
+
+// Confirm notes that a linearizable read that began at the given time found
+// the store at revision rev. It reports whether the catalog is current.
+func (c *Catalog) Confirm(at time.Duration, rev Revision) bool {
+	if rev > c.revision {
+		return false
+	}
+	c.good(at, at)
+	return true
+}
+
+// good notes that the store was in good state from since to at.
+func (c *Catalog) good(since, at time.Duration) {
+	if at <= c.asOf && c.goodSince > 0 {
+		return
+	}
+	if c.goodSince == 0 || at-c.asOf > storeGap {
+		c.goodSince = max(since, 1)
+	} else {
+		c.goodSince = min(c.goodSince, max(since, 1))
+	}
+	c.asOf = at
+}
+
+// Apply takes a change that was current at the given time, with the store in
+// good state since goodSince. It reports what the change moved.
+func (c *Catalog) Apply(now, at, goodSince time.Duration, ch *Change) Applied {
+	var a Applied
+	if ch.Config != nil && ch.Config.Version > c.Version() {
+		c.setConfig(ch.Config)
+		a.Config = true
+	}
+	if ch.Revision < c.revision {
+		a.Stale = true
+		return a
+	}
+	if ch.Whole {
+		c.markMissing(now, ch, &a)
+		c.loaded = true
+	}
+	for i := range ch.Servers {
+		c.put(now, ch.Servers[i], &a)
+	}
+	for _, r := range ch.Removed {
+		if s := c.servers[r.ID]; s != nil && s.Published() && r.Revision > s.Revision {
+			s.Missing = max(now, 1)
+			a.Removed = append(a.Removed, s)
+		}
+	}
+	c.revision = ch.Revision
+	c.good(goodSince, at)
+	if len(a.Added)+len(a.Removed)+len(a.Changed) > 0 {
+		c.index()
+	}
+	return a
+}
+
+// Applied says what a change moved.
+type Applied struct {
+	Config                  bool
+	Stale                   bool // the servers were older than those known
+	Added, Changed, Removed []*Server
+}
+
+func (c *Catalog) setConfig(cfg *Config) {
+	routes := make(map[netip.AddrPort]*Route, len(cfg.Routes))
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		routes[r.Dest] = r
+	}
+	for dest, old := range c.routes {
+		r := routes[dest]
+		if r == nil {
+			delete(c.former, dest)
+			continue
+		}
+		for _, t := range old.Targets {
+			if !c.MayLead(r, t.Service) {
+				c.former[dest] = append(c.former[dest], t.Service)
+			}
+		}
+	}
+	c.config, c.routes = cfg, routes
+}
+
+func (c *Catalog) markMissing(now time.Duration, ch *Change, a *Applied) {
+	listed := make(map[ServerID]bool, len(ch.Servers))
+	for i := range ch.Servers {
+		listed[ch.Servers[i].ID] = true
+	}
+	for id, s := range c.servers {
+		if s.Published() && !listed[id] {
+			s.Missing = max(now, 1)
+			a.Removed = append(a.Removed, s)
+		}
+	}
+}
+
+// put takes one entry unless a newer one is known.
+func (c *Catalog) put(now time.Duration, n Server, a *Applied) {
+	old := c.servers[n.ID]
+	if old != nil && n.Revision < old.Revision {
+		return
+	}
+	if old != nil && n.Revision == old.Revision && old.Published() {
+		return
+	}
+	if old != nil && old.Started == n.Started {
+		// Packets of open flows may be on the way to the server, so its
+		// record stays and takes the new values.
+		old.Service, old.Domain, old.Addr, old.Slots = n.Service, n.Domain, n.Addr, n.Slots
+		old.Draining, old.Revision, old.Missing = n.Draining, n.Revision, 0
+		a.Changed = append(a.Changed, old)
+		return
+	}
+	n.Token = token.Of(uint64(n.ID), n.Started)
+	n.FirstSeen, n.Missing = now, 0
+	c.servers[n.ID] = &n
+	if held := c.byToken[n.Token]; held == nil || held.ID == n.ID || c.Gone(now, held) {
+		c.byToken[n.Token] = &n
+	}
+	a.Added = append(a.Added, &n)
+}
+
+// index lists the published servers by service.
+func (c *Catalog) index() {
+	clear(c.services)
+	for _, s := range c.servers {
+		// A server whose token names another one cannot keep flows.
+		if s.Published() && c.byToken[s.Token] == s {
+			c.services[s.Service] = append(c.services[s.Service], s)
+		}
+	}
+}
+
+// Gone reports whether the server is certain to have ended: another start has
+// its place, or its entry stayed missing from a store in good state.
+func (c *Catalog) Gone(now time.Duration, s *Server) bool {
+	if c.servers[s.ID] != s {
+		return true
+	}
+	return !s.Published() && c.asOf-max(s.Missing, c.goodSince) > goneAfter
+}
+
+// Certain reports whether a server without an entry that was unknown at the
+// given time cannot live: the store was in good state for long enough before
+// that and was read since.
+func (c *Catalog) Certain(at time.Duration) bool {
+	return c.loaded && c.asOf >= at && c.goodSince > 0 && c.asOf-c.goodSince > goneAfter
+}
+
+// Forget drops servers whose entries have been missing for longer than flows
+// last.
+func (c *Catalog) Forget(now time.Duration) {
+	for t, s := range c.byToken {
+		superseded := c.servers[s.ID] != s
+		if !superseded && s.Published() || now-max(s.Missing, s.FirstSeen) < keepMissing {
+			continue
+		}
+		delete(c.byToken, t)
+		if !superseded {
+			delete(c.servers, s.ID)
+		}
+	}
+}
--- /dev/null
+++ b/core/catalog/types.go
@@ -0,0 +1,108 @@
+// Package catalog holds what an instance knows of routes and backend servers.
+// It merges what comes from the settings store and from peers by version and
+// revision, so that no late or stale answer moves it back. It has no clock and
+// does no I/O.
+package catalog
+
+import (
+	"net/netip"
+	"time"
+
+	"egrettack.example/core/token"
+)
+
+// ServerID identifies a backend server over its starts.
+type ServerID uint64
+
+// Revision is a position in the history of the settings store.
+type Revision uint64
+
+// Version is the operator's version of the configuration.
+type Version uint64
+
+// Server is one start of a backend server. It is immutable but for the fields
+// that the Catalog documents as its own.
+type Server struct {
+	ID       ServerID
+	Name     string // as published, for logs
+	Started  int64  // Unix milliseconds
+	Service  string
+	Domain   string // failure domain
+	Addr     netip.AddrPort
+	Slots    int // requests it runs at once
+	Draining bool
+	// Cold is for how long after it was published the server is slow.
+	Cold     time.Duration
+	Revision Revision // of the published entry
+
+	Token token.Token
+	// FirstSeen is when this instance first knew of the start.
+	FirstSeen time.Duration
+	// Missing is since when the entry is missing, 0 while it is published.
+	Missing time.Duration
+}
+
+// Published reports whether the server has an entry in the store.
+func (s *Server) Published() bool { return s.Missing == 0 }
+
+// Kind says what may be repeated of a request.
+type Kind uint8
+
+// The kinds of request.
+const (
+	Safe   Kind = iota // idempotent: callers repeat it after any failure
+	Unsafe             // runs at most once
+	Upload             // unsafe, with a large body
+)
+
+// Target is a service that takes a part of a route's new flows.
+type Target struct {
+	Service string `cbor:"1,keyasint"`
+	Weight  int    `cbor:"2,keyasint"`
+}
+
+// Route leads an address of the platform to services.
+type Route struct {
+	Name     string         `cbor:"1,keyasint"`
+	Dest     netip.AddrPort `cbor:"2,keyasint"`
+	Targets  []Target       `cbor:"3,keyasint"`
+	Kind     Kind           `cbor:"4,keyasint"`
+	Priority int            `cbor:"5,keyasint"` // 0 is the most urgent
+}
+
+// Leads reports whether new flows of the route may go to the service.
+func (r *Route) Leads(service string) bool {
+	for _, t := range r.Targets {
+		if t.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	Version     Version       `cbor:"1,keyasint"`
+	Revision    Revision      `cbor:"2,keyasint"`
+	Routes      []Route       `cbor:"3,keyasint"`
+	IdleTimeout time.Duration `cbor:"4,keyasint"` // flows idle for longer may be forgotten
+}
+
+// Change is what a store or a peer tells: the configuration, if it carries
+// one, and backend servers.
+type Change struct {
+	// Revision is the position up to which the change is complete.
+	Revision Revision
+	// Whole says that Servers are all servers; otherwise they and Removed are
+	// what changed since the revision that was asked for.
+	Whole   bool
+	Config  *Config
+	Servers []Server
+	Removed []Removal
+}
+
+// Removal is a server whose entry went away.
+type Removal struct {
+	ID       ServerID
+	Revision Revision
+}
--- /dev/null
+++ b/core/steer/engine.go
@@ -0,0 +1,117 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egrettack.example/core/catalog"
+)
+
+// Config of an Engine.
+type Config struct {
+	Domain string // the failure domain of this instance
+	Seed   uint64 // of the choice among equal servers and of weighted targets
+}
+
+// Engine decides on packets. It is not safe for concurrent use.
+type Engine struct {
+	cfg     Config
+	catalog *catalog.Catalog
+	flows   map[Key]*entry
+	loads   map[*catalog.Server]*load
+	random  *rand.Rand
+	sweep   []Key // flows to look at in the present round
+}
+
+// New returns an engine that reads c, which the caller changes only between
+// the engine's calls.
+func New(cfg Config, c *catalog.Catalog) *Engine {
+	return &Engine{
+		cfg: cfg, catalog: c,
+		flows:  make(map[Key]*entry),
+		loads:  make(map[*catalog.Server]*load),
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
+	}
+}
+
+// Decide returns what to do with a packet and notes what it shows of the load
+// and the life of servers.
+func (e *Engine) Decide(now time.Duration, p *Packet) Verdict {
+	if !e.catalog.Complete() {
+		return Verdict{Action: Hold, Reason: NotLoaded}
+	}
+	route := e.catalog.Route(p.Dest)
+	if route == nil {
+		e.forget(Key{p.Caller, p.Dest})
+		if p.RST {
+			return Verdict{Action: Drop, Reason: NoRoute}
+		}
+		return Verdict{Action: Reset, Reason: NoRoute}
+	}
+	if p.SYN {
+		return e.open(now, p, route)
+	}
+	return e.deliver(now, p, route)
+}
+
+// open places a new flow. A copy of an opening packet goes to a server that
+// has not had one: no server has run anything for the flow yet.
+func (e *Engine) open(now time.Duration, p *Packet, route *catalog.Route) Verdict {
+	key := Key{p.Caller, p.Dest}
+	f := e.flows[key]
+	if f != nil && (f.acked || f.seq != p.Seq) {
+		// The caller uses the address and port again for a new flow.
+		e.drop(key, f)
+		f = nil
+	}
+	s, level := e.choose(now, route, f)
+	if s == nil {
+		return Verdict{Action: Reset, Reason: NoServer}
+	}
+	if f == nil {
+		f = &entry{seq: p.Seq, next: p.Seq + 1}
+		e.flows[key] = f
+	}
+	f.last = now
+	e.assign(now, f, s)
+	f.tried = append(f.tried, s)
+	e.load(s).sent(now)
+	return Verdict{Action: Forward, Reason: Placed, Server: s, Load: level}
+}
+
+// deliver forwards a packet of an open flow to the server that its token names.
+func (e *Engine) deliver(now time.Duration, p *Packet, route *catalog.Route) Verdict {
+	key := Key{p.Caller, p.Dest}
+	s := e.catalog.ByToken(p.Token)
+	f := e.flows[key]
+	if f != nil && len(f.tried) > 1 && f.acked {
+		// Several servers answered the copies of the opening packet, and the
+		// token is the last one that the caller received. The flow is at the
+		// server that the first packet after the handshake went to.
+		s = f.server
+	}
+	switch {
+	case p.Token == 0 && s == nil:
+		return Verdict{Action: Drop, Reason: NoToken}
+	case s == nil && p.RST:
+		return Verdict{Action: Drop, Reason: UnknownToken}
+	case s == nil:
+		return Verdict{Action: Hold, Reason: UnknownToken}
+	case !e.catalog.MayLead(route, s.Service):
+		return Verdict{Action: Drop, Reason: WrongService}
+	case e.catalog.Gone(now, s) && !s.Published():
+		e.forget(key)
+		return Verdict{Action: Reset, Reason: ServerGone, Server: s}
+	}
+	e.observe(now, key, f, s, p)
+	return Verdict{Action: Forward, Reason: Token, Server: s}
+}
+
+// Expired decides on a packet that was held for as long as it may be. heldAt
+// is when it arrived.
+func (e *Engine) Expired(heldAt time.Duration, p *Packet) Verdict {
+	if !p.SYN && e.catalog.Complete() && e.catalog.Certain(heldAt) {
+		return Verdict{Action: Reset, Reason: ServerGone}
+	}
+	return Verdict{Action: Drop, Reason: UnknownToken}
+}
--- /dev/null
+++ b/core/steer/flows.go
@@ -0,0 +1,158 @@
+package steer
+
+import (
+	"time"
+
+	"egrettack.example/core/catalog"
+)
+
+const (
+	// requestLimit is how long a request counts as work in progress without a
+	// sign of its end, which may have gone through another instance: about
+	// twenty mean times of a request.
+	requestLimit = 600 * time.Millisecond
+	// openingLimit bounds the wait for the first packet after the handshake:
+	// callers give a flow up after 1.4 s.
+	openingLimit = 1500 * time.Millisecond
+	// defaultIdle is the idle time after which a flow is forgotten while the
+	// configuration gives none.
+	defaultIdle = 15 * time.Second
+	// sweepShare is the part of the flows that one Tick looks at.
+	sweepShare = 8
+)
+
+// entry is what an instance notes of a flow. It only serves the account of
+// load; delivery does not depend on it.
+type entry struct {
+	server  *catalog.Server
+	tried   []*catalog.Server // servers that got an opening packet
+	seq     uint32            // of the opening packet
+	next    uint32            // end of the data seen
+	ack     uint64            // highest acknowledgement seen
+	acked   bool              // a packet after the handshake was seen
+	busy    bool              // counted as a request in progress
+	began   time.Duration     // of the request in progress
+	last    time.Duration     // of the last packet
+	retried bool              // data of the request were sent again
+}
+
+// assign moves the account of a flow to a server and counts a request.
+func (e *Engine) assign(now time.Duration, f *entry, s *catalog.Server) {
+	if f.server != s {
+		e.release(f)
+		f.server = s
+		e.load(s).open++
+	}
+	e.begin(now, f)
+}
+
+func (e *Engine) begin(now time.Duration, f *entry) {
+	if !f.busy {
+		f.busy = true
+		e.load(f.server).busy++
+	}
+	f.began, f.retried = now, false
+}
+
+func (e *Engine) end(f *entry) {
+	if f.busy {
+		f.busy = false
+		e.load(f.server).busy--
+	}
+}
+
+func (e *Engine) release(f *entry) {
+	if f.server == nil {
+		return
+	}
+	e.end(f)
+	e.load(f.server).open--
+	f.server = nil
+}
+
+func (e *Engine) drop(k Key, f *entry) {
+	e.release(f)
+	delete(e.flows, k)
+}
+
+func (e *Engine) forget(k Key) {
+	if f := e.flows[k]; f != nil {
+		e.drop(k, f)
+	}
+}
+
+// observe notes what a packet of an open flow shows.
+func (e *Engine) observe(now time.Duration, key Key, f *entry, s *catalog.Server, p *Packet) {
+	if p.RST {
+		e.forget(key)
+		return
+	}
+	if f == nil {
+		if p.FIN {
+			return
+		}
+		f = &entry{next: p.Seq, ack: p.Ack, acked: true, server: s, last: now}
+		e.flows[key] = f
+		e.load(s).open++
+	}
+	if f.server != s {
+		e.release(f)
+		f.server = s
+		e.load(s).open++
+	}
+	f.last = now
+	if !f.acked || p.Ack > f.ack {
+		e.load(s).alive(now)
+		if f.acked && f.busy && p.Ack > f.ack {
+			e.load(s).answered(now - f.began)
+			e.end(f)
+		}
+		f.ack, f.acked = p.Ack, true
+	}
+	if end := p.Seq + uint32(p.Len); p.Len > 0 {
+		if int32(end-f.next) > 0 {
+			f.next = end
+			e.begin(now, f)
+		} else if f.busy {
+			f.retried = true
+		}
+	}
+	if p.FIN {
+		e.drop(key, f)
+	}
+}
+
+// Tick forgets flows that are idle and requests whose end was not seen.
+func (e *Engine) Tick(now time.Duration) {
+	idle := defaultIdle
+	if c := e.catalog.Config(); c != nil && c.IdleTimeout > 0 {
+		idle = c.IdleTimeout
+	}
+	if len(e.sweep) == 0 {
+		for k := range e.flows {
+			e.sweep = append(e.sweep, k)
+		}
+	}
+	n := min(len(e.sweep), len(e.flows)/sweepShare+1)
+	for _, k := range e.sweep[:n] {
+		f := e.flows[k]
+		if f == nil {
+			continue
+		}
+		switch quiet := now - f.last; {
+		case quiet > idle || !f.acked && quiet > openingLimit:
+			e.drop(k, f)
+		case f.busy && now-f.began > requestLimit:
+			e.end(f)
+		}
+	}
+	e.sweep = e.sweep[n:]
+	for s, l := range e.loads {
+		if l.open == 0 && !s.Published() {
+			delete(e.loads, s)
+		}
+	}
+}
+
+// Flows returns the number of flows noted.
+func (e *Engine) Flows() int { return len(e.flows) }
--- /dev/null
+++ b/node/edge/clock.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// clock tells the time since the process started, the time that the machine
+// was suspended included. The time of day, which may jump, is not used.
+type clock struct {
+	start  time.Time
+	boot   time.Duration // of the boot clock at start
+	asleep *atomic.Int64 // time suspended since start, ns
+}
+
+// suspendSlack is the least difference of the two clocks that counts as a
+// suspend: readings of both lie microseconds apart.
+const suspendSlack = 50 * time.Millisecond
+
+func newClock() clock {
+	return clock{start: time.Now(), boot: bootTime(), asleep: new(atomic.Int64)}
+}
+
+// now returns the time since start. It is above zero.
+func (c clock) now() time.Duration {
+	return time.Since(c.start) + time.Duration(c.asleep.Load()) + 1
+}
+
+// adjust takes in time that the machine was suspended and returns how much
+// came since the last call.
+func (c clock) adjust() time.Duration {
+	total := bootTime() - c.boot - time.Since(c.start)
+	slept := total - time.Duration(c.asleep.Load())
+	if slept < suspendSlack {
+		return 0
+	}
+	c.asleep.Store(int64(total))
+	return slept
+}
+
+// bootTime reads the clock that also runs while the machine is suspended.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Without the clock no suspend is seen, and answers of the store from
+		// before it count as fresh for one read interval.
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/node/edge/instance.go
@@ -0,0 +1,151 @@
+// Package edge is one running instance with affinity by token. It joins the
+// engine to the packet socket, the settings store and the pages for the
+// platform and the operators. The formats of packets and of the store come
+// from outside.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/core/steer"
+	"egrettack.example/node/logging"
+	"egrettack.example/settings/edge"
+)
+
+// Packets translates the packets of callers.
+type Packets interface {
+	// Decode reads a caller's packet.
+	Decode(b []byte, p *steer.Packet) error
+	// Forward appends the datagram that takes a caller's packet to a server.
+	Forward(dst, packet []byte, s *catalog.Server) []byte
+	// Reset appends the datagram that refuses a flow, and tells where it goes.
+	Reset(dst []byte, p *steer.Packet) ([]byte, netip.AddrPort)
+	// RequestID returns the id of the request that begins in a packet, nil if
+	// none does.
+	RequestID(packet []byte) []byte
+}
+
+// Store reads the settings store. All reads but Since are linearizable.
+type Store interface {
+	// Revision returns the newest revision.
+	Revision(ctx context.Context) (catalog.Revision, error)
+	// All reads the configuration and all servers.
+	All(ctx context.Context) (*catalog.Change, error)
+	// Since returns what changed after a revision.
+	Since(ctx context.Context, after catalog.Revision) (*catalog.Change, error)
+	// Reconnect makes the next call use a new connection.
+	Reconnect()
+}
+
+// Options of an instance.
+type Options struct {
+	Settings *edge.Settings
+	Packets  Packets
+	// Store returns the client of the store; it tells calls of each call made.
+	Store   func(calls func(kind string, err error)) Store
+	Log     *slog.Logger
+	LogLost func() uint64 // lines dropped so far
+}
+
+// Instance is one running instance.
+type Instance struct {
+	set     *edge.Settings
+	packets Packets
+	store   Store
+	log     *slog.Logger
+	clock   clock
+	metrics *metrics
+	socket  *net.UDPConn
+
+	// mu guards the catalog, the engine and what is held.
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	engine  *steer.Engine
+	held    held
+	lines   *logging.Limiter // of decisions on packets
+
+	state state
+}
+
+// tickEvery is the interval of the engine's housekeeping.
+const tickEvery = 100 * time.Millisecond
+
+// New opens the sockets of an instance.
+func New(o Options) (*Instance, error) {
+	s := o.Settings
+	c := catalog.New()
+	i := &Instance{
+		set: s, packets: o.Packets, log: o.Log,
+		clock:   newClock(),
+		catalog: c,
+		engine:  steer.New(steer.Config{Domain: s.Domain, Seed: rand.Uint64()}, c),
+		lines:   logging.NewLimiter(linesPerSecond),
+	}
+	i.metrics = newMetrics(i, o.LogLost)
+	i.store = o.Store(i.metrics.called)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Packets))
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for packets on %s", s.Packets)
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		i.log.Warn("receive buffer not set", "bytes", socketBuffer, "error", err)
+	}
+	i.socket = conn
+	return i, nil
+}
+
+// Run serves until ctx is done and the flows have moved to other instances.
+func (i *Instance) Run(ctx context.Context) error {
+	i.log.Info("start", "domain", i.set.Domain, "packets", i.set.Packets, "store", i.set.Store, "seeds", len(i.set.Seeds))
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return i.receive(work) })
+	g.Go(func() error { return i.follow(work) })
+	g.Go(func() error { return i.tick(work) })
+	g.Go(func() error { return i.servePages(work) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			i.drain(work)
+			cancel()
+		case <-work.Done():
+		}
+		return nil
+	})
+	err := g.Wait()
+	i.log.Info("stop", "error", err)
+	return err
+}
+
+// tick does the engine's housekeeping until ctx is done.
+func (i *Instance) tick(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		if slept := i.clock.adjust(); slept > 0 {
+			i.log.Warn("the machine was suspended", "for", slept)
+		}
+		now := i.clock.now()
+		i.mu.Lock()
+		i.engine.Tick(now)
+		i.catalog.Forget(now)
+		i.expireHeld(now)
+		i.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/node/edge/metrics.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"egrettack.example/core/steer"
+)
+
+const namespace = "egrettack"
+
+// metrics are what an instance counts.
+type metrics struct {
+	registry   *prometheus.Registry
+	packets    *prometheus.CounterVec // action, reason
+	calls      *prometheus.CounterVec // kind, result
+	malformed  prometheus.Counter
+	sendErrors prometheus.Counter
+	holdFull   prometheus.Counter
+}
+
+func newMetrics(i *Instance, logLost func() uint64) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+		m.registry.MustRegister(c)
+		return c
+	}
+	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string, f func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
+	}
+	m.packets = vector("packets_total", "Packets by what was done with them and why.", "action", "reason")
+	m.calls = vector("store_calls_total", "Calls to the settings store.", "kind", "result")
+	m.malformed = counter("malformed_packets_total", "Packets that could not be read.")
+	m.sendErrors = counter("send_errors_total", "Datagrams that the kernel refused.")
+	m.holdFull = counter("hold_full_total", "Packets lost because the hold buffer was full.")
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that did not fit the buffer.",
+	}, func() float64 { return float64(logLost()) }))
+	locked := func(f func() float64) func() float64 {
+		return func() float64 {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			return f()
+		}
+	}
+	gauge("flows", "Flows noted by this instance.", locked(func() float64 { return float64(i.engine.Flows()) }))
+	gauge("held_packets", "Packets that wait for the catalog.", locked(func() float64 { return float64(len(i.held.packets)) }))
+	gauge("config_version", "Version in force.", locked(func() float64 { return float64(i.catalog.Version()) }))
+	gauge("catalog_age_seconds", "Time since the catalog was known to be current.",
+		locked(func() float64 { return (i.clock.now() - i.catalog.AsOf()).Seconds() }))
+	return m
+}
+
+func (m *metrics) decided(v steer.Verdict) {
+	m.packets.WithLabelValues(v.Action.String(), v.Reason.String()).Inc()
+}
+
+func (m *metrics) called(kind string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.calls.WithLabelValues(kind, result).Inc()
+}
--- /dev/null
+++ b/node/edge/packets.go
@@ -0,0 +1,166 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"egrettack.example/core/steer"
+)
+
+const (
+	// socketBuffer is the size asked for the kernel's receive buffer, bytes.
+	// It holds a second of a busy instance's packets; the kernel may grant less.
+	socketBuffer = 2 << 20
+	// readBuffer holds the largest datagram, bytes.
+	readBuffer = 2048
+	// linesPerSecond bounds the log lines of decisions on packets.
+	linesPerSecond = 200
+	// holdFor is how long a packet may wait for the catalog. Callers send a
+	// packet again after 200 ms at the earliest, and give up after 500 ms.
+	holdFor = 1500 * time.Millisecond
+	// holdLimit bounds the packets that wait.
+	holdLimit = 1024
+)
+
+// held are packets that wait for the catalog to move on.
+type held struct{ packets []heldPacket }
+
+type heldPacket struct {
+	at     time.Duration
+	data   []byte
+	packet steer.Packet
+}
+
+// receive decides on packets until ctx is done.
+func (i *Instance) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { i.socket.Close() })
+	defer stop()
+	in, out := make([]byte, readBuffer), make([]byte, 0, readBuffer)
+	for {
+		n, _, err := i.socket.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return trace.Wrap(err, "read packets on %s", i.set.Packets)
+		}
+		i.handle(i.clock.now(), in[:n], out)
+	}
+}
+
+// handle decides on one packet and carries the decision out.
+func (i *Instance) handle(now time.Duration, data, out []byte) {
+	var p steer.Packet
+	if err := i.packets.Decode(data, &p); err != nil {
+		i.metrics.malformed.Inc()
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.state.lastPacket = now
+	v := i.engine.Decide(now, &p)
+	i.carryOut(now, 0, v, &p, data, out)
+}
+
+// carryOut does what was decided on a packet that waited for a while.
+func (i *Instance) carryOut(now, waited time.Duration, v steer.Verdict, p *steer.Packet, data, out []byte) {
+	i.metrics.decided(v)
+	switch v.Action {
+	case steer.Forward:
+		i.send(i.packets.Forward(out[:0], data, v.Server), v.Server.Addr)
+	case steer.Reset:
+		if !p.RST {
+			i.send(i.packets.Reset(out[:0], p))
+		}
+	case steer.Hold:
+		i.hold(now, data, p)
+	}
+	i.logDecision(now, waited, v, p, data)
+}
+
+func (i *Instance) send(b []byte, to netip.AddrPort) {
+	if _, err := i.socket.WriteToUDPAddrPort(b, to); err != nil {
+		i.metrics.sendErrors.Inc()
+	}
+}
+
+// hold keeps a copy of a packet. When the buffer is full the packet is lost,
+// as on the network, and the caller sends it again.
+func (i *Instance) hold(now time.Duration, data []byte, p *steer.Packet) {
+	if len(i.held.packets) >= holdLimit {
+		i.metrics.holdFull.Inc()
+		return
+	}
+	i.held.packets = append(i.held.packets, heldPacket{now, append([]byte(nil), data...), *p})
+}
+
+// retryHeld decides again on held packets, after the catalog moved on.
+func (i *Instance) retryHeld(now time.Duration) {
+	waiting := i.held.packets
+	i.held.packets = nil
+	out := make([]byte, 0, readBuffer)
+	for _, h := range waiting {
+		v := i.engine.Decide(now, &h.packet)
+		if v.Action == steer.Hold {
+			i.held.packets = append(i.held.packets, h)
+			continue
+		}
+		i.carryOut(now, now-h.at, v, &h.packet, h.data, out)
+	}
+}
+
+// expireHeld gives up packets that waited for too long.
+func (i *Instance) expireHeld(now time.Duration) {
+	n := 0
+	out := make([]byte, 0, readBuffer)
+	for n < len(i.held.packets) && now-i.held.packets[n].at > holdFor {
+		h := &i.held.packets[n]
+		i.carryOut(now, now-h.at, i.engine.Expired(h.at, &h.packet), &h.packet, h.data, out)
+		n++
+	}
+	i.held.packets = i.held.packets[n:]
+}
+
+// logDecision writes the line of a decision that touches a request: a new
+// flow, the begin of a request, or anything but forwarding by the token.
+func (i *Instance) logDecision(now, waited time.Duration, v steer.Verdict, p *steer.Packet, data []byte) {
+	request := i.packets.RequestID(data)
+	if v.Reason == steer.Token && request == nil {
+		return
+	}
+	ok, suppressed := i.lines.Allow(now)
+	if !ok {
+		return
+	}
+	attrs := make([]slog.Attr, 0, 16)
+	if request != nil {
+		attrs = append(attrs, slog.String("request", string(request)))
+	}
+	attrs = append(attrs,
+		slog.String("caller", p.Caller.String()), slog.String("dest", p.Dest.String()),
+		slog.String("action", v.Action.String()), slog.String("reason", v.Reason.String()))
+	if v.Server != nil {
+		attrs = append(attrs, slog.String("server", v.Server.Name), slog.String("addr", v.Server.Addr.String()))
+	}
+	if p.SYN {
+		attrs = append(attrs, slog.Int("copy", p.Copy), slog.Float64("load", v.Load))
+	} else {
+		attrs = append(attrs, slog.Uint64("token", uint64(p.Token)), slog.Uint64("seq", uint64(p.Seq)))
+	}
+	attrs = append(attrs,
+		slog.Uint64("version", uint64(i.catalog.Version())), slog.Uint64("revision", uint64(i.catalog.Revision())),
+		slog.Duration("age", now-i.catalog.AsOf()))
+	if waited > 0 {
+		attrs = append(attrs, slog.Duration("waited", waited))
+	}
+	if suppressed > 0 {
+		attrs = append(attrs, slog.Uint64("suppressed", suppressed))
+	}
+	i.log.LogAttrs(context.Background(), slog.LevelInfo, "packet", attrs...)
+}
--- /dev/null
+++ b/node/edge/pages.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	// drainQuiet is how long no packet may arrive before a stopping instance
+	// ends: the routers have sent its flows elsewhere by then.
+	drainQuiet = 300 * time.Millisecond
+	// drainLeast is the least time from the begin of a stop to its end: the
+	// routers take two looks at the readiness, half a second apart.
+	drainLeast = 1200 * time.Millisecond
+	// drainSpare is the part of the platform's grace that is left unused.
+	drainSpare = time.Second
+)
+
+// state is what the instance believes beside the catalog, under mu.
+type state struct {
+	stopping   bool
+	storeLost  bool
+	lastPacket time.Duration
+}
+
+// ready returns why the instance should not get packets, "" if it should.
+func (i *Instance) notReady() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case i.state.stopping:
+		return "stopping"
+	case !i.catalog.Complete():
+		return "no configuration or no list of servers yet"
+	}
+	return ""
+}
+
+// servePages answers the platform's question for readiness on any path, and
+// serves the metrics on their port.
+func (i *Instance) servePages(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(ctx, i.set.Health.String(), http.HandlerFunc(i.answerReady)) })
+	if i.set.MetricsPort > 0 {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", promhttp.HandlerFor(i.metrics.registry, promhttp.HandlerOpts{}))
+		addr := &net.TCPAddr{IP: i.set.Packets.Addr().AsSlice(), Port: i.set.MetricsPort}
+		g.Go(func() error { return serve(ctx, addr.String(), mux) })
+	}
+	return g.Wait()
+}
+
+func (i *Instance) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if why := i.notReady(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return trace.Wrap(err, "listen for pages on %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err, "serve pages on %s", addr)
+	}
+	return nil
+}
+
+// drain takes the instance out of rotation and forwards packets until none
+// come any more or the grace is nearly over.
+func (i *Instance) drain(ctx context.Context) {
+	began := i.clock.now()
+	i.mu.Lock()
+	i.state.stopping = true
+	flows := i.engine.Flows()
+	i.mu.Unlock()
+	i.log.Info("stopping", "flows", flows, "grace", i.set.StopGrace)
+	limit := max(i.set.StopGrace.Duration-drainSpare, drainLeast)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(tickEvery):
+		}
+		now := i.clock.now()
+		i.mu.Lock()
+		quiet := now - i.state.lastPacket
+		i.mu.Unlock()
+		if now-began > limit || now-began > drainLeast && quiet > drainQuiet {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/settings/edge/edge.go
@@ -0,0 +1,53 @@
+// Package edge owns the settings file of one instance with affinity by token.
+package edge
+
+import (
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"egrettack.example/settings/document"
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Name          string            `json:"name" required:"true"`
+	Domain        string            `json:"domain" required:"true"`
+	Packets       netip.AddrPort    `json:"packets" required:"true" unit:"address:port, UDP"`
+	Health        netip.AddrPort    `json:"health" required:"true" unit:"address:port, TCP"`
+	Control       netip.AddrPort    `json:"control" required:"true" unit:"address:port, UDP"`
+	InternalPorts []int             `json:"internal_ports" required:"true" min:"1" max:"65535" unit:"first and last port"`
+	Seeds         []netip.AddrPort  `json:"seeds" unit:"address:port, UDP"`
+	Store         netip.AddrPort    `json:"store" required:"true" unit:"address:port, TCP"`
+	MetricsPort   int               `json:"metrics_port" default:"0" min:"0" max:"65535" unit:"port, 0 for none"`
+	StopGrace     document.Duration `json:"stop_grace" default:"6s" min:"1s" max:"1h" unit:"us, ms, s, m, h"`
+	LogLevel      string            `json:"log_level" default:"info" oneof:"debug info warn error"`
+}
+
+// Load reads and checks the settings file. The error holds a
+// document.Problems when the text is wrong.
+func Load(path string) (*Settings, error) {
+	text, err := document.ReadFile(path)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the settings file")
+	}
+	s, err := Parse(path, text)
+	return s, trace.Wrap(err)
+}
+
+// Parse reads settings from text. file stands in errors only.
+func Parse(file string, text []byte) (*Settings, error) {
+	doc, problems := document.Parse(file, text)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	var s Settings
+	problems = doc.Decode(&s)
+	if doc.Has("internal_ports") && (len(s.InternalPorts) != 2 || s.InternalPorts[0] >= s.InternalPorts[1]) {
+		problems = append(problems, doc.Problem("internal_ports", "a first and a larger last port are needed"))
+	}
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
