Read the store through few readers and reload settings on SIGHUP

The fleet now forms a tree by a hash of addresses: one member reads, one per failure domain follows it, others follow within their domain; a member whose knowledge is older than 45% of the apply time reads the store itself.

Telling only news was not enough, since the time on the way made knowledge younger at each hop. A Tell now returns the time of the question, which bounds its age from above.

--- a/cmd/egrettack-edge/main.go
+++ b/cmd/egrettack-edge/main.go
@@ -55,12 +55,12 @@
 		fmt.Println(o.Settings, "is valid")
 		return 0
 	}
-	return serve(s)
+	return serve(o.Settings, s)
 }
 
-func serve(s *edge.Settings) int {
+func serve(path string, s *edge.Settings) int {
 	debug.SetGCPercent(gcPercent)
-	var level slog.Level
+	level := new(slog.LevelVar)
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		fmt.Fprintln(os.Stderr, "egrettack-edge: log_level:", err)
 		return exitUsage
@@ -70,18 +70,21 @@
 	log := logging.New(out, level).With("instance", s.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	i, err := instance.New(instance.Options{
 		Settings: s,
 		Packets:  platform.NewPackets(s.Packets.Port()),
 		Store: func(calls func(string, error)) instance.Store {
 			return platform.NewStore(s.Store, log, calls)
 		},
-		Log: log, LogLost: out.Dropped,
+		Log: log, Level: level, LogLost: out.Dropped,
 	})
 	if err != nil {
 		log.Error("start failed", "error", err)
 		return exitFailed
 	}
+	go i.WatchSettings(ctx, path, hangups)
 	if err := i.Run(ctx); err != nil {
 		log.Error("stopped by a failure", "error", err)
 		return exitFailed
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -28,7 +28,8 @@
 	routes   map[netip.AddrPort]*Route
 	former   map[netip.AddrPort][]string // services that present routes led to before
 	revision Revision
-	loaded   bool // a whole list of servers was taken
+	loaded   bool     // a whole list of servers was taken
+	floor    Revision // all removals after it are remembered
 
 	servers  map[ServerID]*Server // the latest start of each
 	byToken  map[token.Token]*Server
@@ -117,9 +118,17 @@
 	return true
 }
 
+// Extend notes that the store was in good state for a while before at, a time
+// that Confirm was called with.
+func (c *Catalog) Extend(at, good time.Duration) {
+	if at == c.asOf {
+		c.good(at-good, at)
+	}
+}
+
 // good notes that the store was in good state from since to at.
 func (c *Catalog) good(since, at time.Duration) {
-	if at <= c.asOf && c.goodSince > 0 {
+	if at < c.asOf && c.goodSince > 0 {
 		return
 	}
 	if c.goodSince == 0 || at-c.asOf > storeGap {
@@ -144,15 +153,16 @@
 	}
 	if ch.Whole {
 		c.markMissing(now, ch, &a)
-		c.loaded = true
+		if !c.loaded {
+			c.loaded, c.floor = true, ch.Revision
+		}
 	}
 	for i := range ch.Servers {
 		c.put(now, ch.Servers[i], &a)
 	}
 	for _, r := range ch.Removed {
 		if s := c.servers[r.ID]; s != nil && s.Published() && r.Revision > s.Revision {
-			s.Missing = max(now, 1)
-			a.Removed = append(a.Removed, s)
+			c.remove(now, s, r.Revision, &a)
 		}
 	}
 	c.revision = ch.Revision
@@ -198,12 +208,16 @@
 	}
 	for id, s := range c.servers {
 		if s.Published() && !listed[id] {
-			s.Missing = max(now, 1)
-			a.Removed = append(a.Removed, s)
+			c.remove(now, s, ch.Revision, a)
 		}
 	}
 }
 
+func (c *Catalog) remove(now time.Duration, s *Server, rev Revision, a *Applied) {
+	s.Missing, s.removed = max(now, 1), rev
+	a.Removed = append(a.Removed, s)
+}
+
 // put takes one entry unless a newer one is known.
 func (c *Catalog) put(now time.Duration, n Server, a *Applied) {
 	old := c.servers[n.ID]
@@ -268,6 +282,7 @@
 		delete(c.byToken, t)
 		if !superseded {
 			delete(c.servers, s.ID)
+			c.floor = max(c.floor, s.removed)
 		}
 	}
 }
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -23,23 +23,27 @@
 // Server is one start of a backend server. It is immutable but for the fields
 // that the Catalog documents as its own.
 type Server struct {
-	ID       ServerID
-	Name     string // as published, for logs
-	Started  int64  // Unix milliseconds
-	Service  string
-	Domain   string // failure domain
-	Addr     netip.AddrPort
-	Slots    int // requests it runs at once
-	Draining bool
-	// Cold is for how long after it was published the server is slow.
-	Cold     time.Duration
-	Revision Revision // of the published entry
-
-	Token token.Token
+	ID       ServerID       `cbor:"1,keyasint"`
+	Name     string         `cbor:"2,keyasint"` // as published, for logs
+	Started  int64          `cbor:"3,keyasint"` // Unix milliseconds
+	Service  string         `cbor:"4,keyasint"`
+	Domain   string         `cbor:"5,keyasint"` // failure domain
+	Addr     netip.AddrPort `cbor:"6,keyasint"`
+	Slots    int            `cbor:"7,keyasint"` // requests it runs at once
+	Draining bool           `cbor:"8,keyasint,omitempty"`
+	// Cold is for how long after FirstSeen the server is slow.
+	Cold     time.Duration `cbor:"9,keyasint,omitempty"`
+	Revision Revision      `cbor:"10,keyasint"` // of the published entry
+
+	// What follows is the receiver's own and not told to peers.
+
+	Token token.Token `cbor:"-"`
 	// FirstSeen is when this instance first knew of the start.
-	FirstSeen time.Duration
+	FirstSeen time.Duration `cbor:"-"`
 	// Missing is since when the entry is missing, 0 while it is published.
-	Missing time.Duration
+	Missing time.Duration `cbor:"-"`
+	// removed is the revision by which the entry went away, while it is missing.
+	removed Revision
 }
 
 // Published reports whether the server has an entry in the store.
@@ -66,8 +70,8 @@
 	Name     string         `cbor:"1,keyasint"`
 	Dest     netip.AddrPort `cbor:"2,keyasint"`
 	Targets  []Target       `cbor:"3,keyasint"`
-	Kind     Kind           `cbor:"4,keyasint"`
-	Priority int            `cbor:"5,keyasint"` // 0 is the most urgent
+	Kind     Kind           `cbor:"4,keyasint,omitempty"`
+	Priority int            `cbor:"5,keyasint,omitempty"` // 0 is the most urgent
 }
 
 // Leads reports whether new flows of the route may go to the service.
@@ -92,17 +96,17 @@
 // one, and backend servers.
 type Change struct {
 	// Revision is the position up to which the change is complete.
-	Revision Revision
+	Revision Revision `cbor:"1,keyasint"`
 	// Whole says that Servers are all servers; otherwise they and Removed are
 	// what changed since the revision that was asked for.
-	Whole   bool
-	Config  *Config
-	Servers []Server
-	Removed []Removal
+	Whole   bool      `cbor:"2,keyasint,omitempty"`
+	Config  *Config   `cbor:"3,keyasint,omitempty"`
+	Servers []Server  `cbor:"4,keyasint,omitempty"`
+	Removed []Removal `cbor:"5,keyasint,omitempty"`
 }
 
 // Removal is a server whose entry went away.
 type Removal struct {
-	ID       ServerID
-	Revision Revision
+	ID       ServerID `cbor:"1,keyasint"`
+	Revision Revision `cbor:"2,keyasint"`
 }
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,297 @@
+// Package fleet decides from whom an instance learns of changes. The members
+// form a tree: the first-ranked member of the fleet reads the settings store,
+// the first of each other failure domain follows it, and the others follow
+// members of their own domain. Nobody is set aside for this: the ranking is a
+// hash of addresses, and a member whose sources are silent reads the store
+// itself. The package has no clock and does no I/O.
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// FanOut is the number of members of a domain that follow one member, so
+	// that a member's control traffic stays below 9 KB/s: 16 followers cost
+	// about 5 KB/s.
+	FanOut = 16
+	// AskEvery is the interval at which a follower asks its source. The source
+	// answers each question and tells changes without being asked.
+	AskEvery = time.Second
+	// FollowerLease is how long a source tells changes to a follower that does
+	// not ask again: two lost questions.
+	FollowerLease = 3 * time.Second
+	// silentAfter is how long a source may leave questions unanswered before
+	// the next one is asked. Sources also tell their revision at each read of
+	// the store, every 750 ms.
+	silentAfter = 1100 * time.Millisecond
+	// avoidFor is how long a silent source is left out.
+	avoidFor = 3 * time.Second
+	// memberLimit is how long a member is remembered that nobody has heard of.
+	// News of a member reaches all of 420 within about 10 s.
+	memberLimit = 20 * time.Second
+	// greetEvery is the interval of greetings to seeds and random members, by
+	// which parts of the fleet that lost each other meet again.
+	greetEvery = 2 * time.Second
+	// greetEarly is the interval after the start, for earlyGreetings times: the
+	// processes of a fleet come up within 300 ms of each other, and seeds that
+	// are late within 3 s.
+	greetEarly     = 300 * time.Millisecond
+	earlyGreetings = 10
+	// askWhenLost is the interval at which a member that lost the store asks others.
+	askWhenLost = 400 * time.Millisecond
+	// GossipSample is the number of members that one message tells of.
+	GossipSample = 16
+)
+
+// rankSeed keeps the ranking independent of other hashes.
+const rankSeed uint64 = 0x666c656574
+
+// Member is an instance as another one knows it.
+type Member struct {
+	Addr   netip.Addr
+	Domain string
+	Heard  time.Duration // when it was last heard of, by anybody
+
+	rank      uint64
+	avoid     time.Duration // left out as a source until then
+	followed  time.Duration // end of its lease as a follower
+	unheeded  time.Duration // since when questions to it are unanswered, 0 for none
+	responded time.Duration // when it last answered
+}
+
+// Fleet is one instance's picture of the others. It is not safe for concurrent
+// use.
+type Fleet struct {
+	self    Member
+	members map[netip.Addr]*Member
+	ranked  []*Member // all but self, by rank
+	seeds   []netip.Addr
+	source  netip.Addr // the zero Addr while the instance reads the store
+	greeted time.Duration
+	asked   time.Duration
+
+	greetings int // rounds of greetings so far
+	random    *rand.Rand
+}
+
+// New returns the picture of an instance that knows nobody but its seeds.
+func New(addr netip.Addr, domain string, seed uint64) *Fleet {
+	return &Fleet{
+		self:    Member{Addr: addr, Domain: domain, rank: rank(addr)},
+		members: make(map[netip.Addr]*Member),
+		random:  rand.New(rand.NewPCG(seed, rankSeed)),
+	}
+}
+
+func rank(a netip.Addr) uint64 {
+	b := a.As16()
+	d := xxhash.NewWithSeed(rankSeed)
+	// Writing to a hash does not fail.
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+// SetSeeds sets the members that are greeted while few are known.
+func (f *Fleet) SetSeeds(seeds []netip.Addr) {
+	f.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.Addr) bool { return a == f.self.Addr })
+}
+
+// Source returns the member that the instance follows, the zero Addr while it
+// reads the store itself.
+func (f *Fleet) Source() netip.Addr { return f.source }
+
+// Members calls f for each other member.
+func (f *Fleet) Members(each func(*Member)) {
+	for _, m := range f.ranked {
+		each(m)
+	}
+}
+
+// Size returns the number of members known, the instance itself included.
+func (f *Fleet) Size() int { return len(f.ranked) + 1 }
+
+// Heard notes a message from a member. It reports whether the member was
+// unknown, which is to be greeted in return.
+func (f *Fleet) Heard(now time.Duration, addr netip.Addr, domain string) bool {
+	_, known := f.members[addr]
+	m := f.learn(now, addr, domain)
+	if m == nil {
+		return false
+	}
+	m.unheeded, m.avoid = 0, 0
+	return !known
+}
+
+// Told notes that another member heard of addr a while ago.
+func (f *Fleet) Told(now time.Duration, addr netip.Addr, domain string, age time.Duration) {
+	if age < memberLimit {
+		f.learn(now-age, addr, domain)
+	}
+}
+
+func (f *Fleet) learn(heard time.Duration, addr netip.Addr, domain string) *Member {
+	if addr == f.self.Addr {
+		return nil
+	}
+	m := f.members[addr]
+	if m == nil {
+		m = &Member{Addr: addr, Domain: domain, Heard: heard, rank: rank(addr)}
+		f.members[addr] = m
+		at, _ := slices.BinarySearchFunc(f.ranked, m, byRank)
+		f.ranked = slices.Insert(f.ranked, at, m)
+	}
+	m.Domain, m.Heard = domain, max(m.Heard, heard)
+	return m
+}
+
+func byRank(a, b *Member) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), a.Addr.Compare(b.Addr))
+}
+
+// Left forgets a member that stops.
+func (f *Fleet) Left(addr netip.Addr) {
+	if m := f.members[addr]; m != nil {
+		delete(f.members, addr)
+		f.ranked = slices.DeleteFunc(f.ranked, func(x *Member) bool { return x == m })
+	}
+}
+
+// Asked notes a question of a member that follows this instance.
+func (f *Fleet) Asked(now time.Duration, addr netip.Addr) {
+	if m := f.members[addr]; m != nil {
+		m.followed = now + FollowerLease
+	}
+}
+
+// Followers returns the members that want to be told of changes.
+func (f *Fleet) Followers(now time.Duration) []netip.Addr {
+	var list []netip.Addr
+	for _, m := range f.ranked {
+		if m.followed > now {
+			list = append(list, m.Addr)
+		}
+	}
+	return list
+}
+
+// Plan is what an instance does next.
+type Plan struct {
+	Ask   netip.Addr   // the source to ask, the zero Addr for none
+	Greet []netip.Addr // members to send the picture of the fleet to
+}
+
+// Tick settles the source and tells which messages are due.
+// lost says that the store does not answer this instance: it then asks any
+// member, also those that rank behind it.
+func (f *Fleet) Tick(now time.Duration, lost bool) Plan {
+	f.expire(now)
+	if m := f.members[f.source]; m != nil && m.unheeded > 0 && now-m.unheeded > silentAfter {
+		m.avoid, m.unheeded = now+avoidFor, 0
+	}
+	var p Plan
+	if next := f.choose(now); next != f.source {
+		f.source, f.asked = next, 0
+	}
+	if f.source.IsValid() && (f.asked == 0 || now-f.asked >= AskEvery) {
+		p.Ask, f.asked = f.source, now
+		if m := f.members[f.source]; m != nil && m.unheeded == 0 {
+			m.unheeded = now
+		}
+	}
+	if lost && !f.source.IsValid() && len(f.ranked) > 0 && now-f.asked >= askWhenLost {
+		p.Ask, f.asked = f.ranked[f.random.IntN(len(f.ranked))].Addr, now
+	}
+	if f.greeted == 0 || now-f.greeted >= f.greetInterval() {
+		f.greeted = now
+		f.greetings++
+		p.Greet = f.toGreet()
+	}
+	return p
+}
+
+// greetInterval is short after the start.
+func (f *Fleet) greetInterval() time.Duration {
+	if len(f.ranked) == 0 || f.greetings < earlyGreetings {
+		return greetEarly
+	}
+	return greetEvery
+}
+
+// toGreet returns the seeds while no member is known, else one of them and a
+// random member.
+func (f *Fleet) toGreet() []netip.Addr {
+	if len(f.ranked) == 0 {
+		return f.seeds
+	}
+	to := []netip.Addr{f.ranked[f.random.IntN(len(f.ranked))].Addr}
+	if len(f.seeds) > 0 {
+		if s := f.seeds[f.random.IntN(len(f.seeds))]; s != to[0] {
+			to = append(to, s)
+		}
+	}
+	return to
+}
+
+func (f *Fleet) expire(now time.Duration) {
+	f.ranked = slices.DeleteFunc(f.ranked, func(m *Member) bool {
+		if now-m.Heard <= memberLimit {
+			return false
+		}
+		delete(f.members, m.Addr)
+		return true
+	})
+}
+
+// choose returns the source by the ranking. A member only follows members that
+// rank before it, so that nobody follows itself over others.
+func (f *Fleet) choose(now time.Duration) netip.Addr {
+	usable := func(m *Member) bool { return m.avoid <= now }
+	before := f.ranked
+	if at, _ := slices.BinarySearchFunc(f.ranked, &f.self, byRank); at < len(f.ranked) {
+		before = f.ranked[:at]
+	}
+	var own []*Member // of the own domain
+	for _, m := range before {
+		if m.Domain == f.self.Domain {
+			own = append(own, m)
+		}
+	}
+	for at := len(own); at > 0; {
+		at = (at - 1) / FanOut
+		if usable(own[at]) {
+			return own[at].Addr
+		}
+	}
+	for _, m := range own {
+		if usable(m) {
+			return m.Addr
+		}
+	}
+	for _, m := range before {
+		if m.Domain != f.self.Domain && usable(m) {
+			return m.Addr
+		}
+	}
+	return netip.Addr{}
+}
+
+// Sample returns random members to tell others of.
+func (f *Fleet) Sample() []*Member {
+	n := min(GossipSample, len(f.ranked))
+	list := make([]*Member, 0, n)
+	start := 0
+	if len(f.ranked) > 0 {
+		start = f.random.IntN(len(f.ranked))
+	}
+	for i := range n {
+		list = append(list, f.ranked[(start+i)%len(f.ranked)])
+	}
+	return list
+}
--- /dev/null
+++ b/node/edge/answer.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	wire "egrettack.example/wire/fleet"
+)
+
+// answer handles one call of a peer or an operator.
+func (i *Instance) answer(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodSince:
+		p, err := params[sinceParams](r)
+		if err != nil {
+			return nil, err
+		}
+		return i.since(p)
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+}
+
+func params[T any](r *jsonrpc2.Request) (p T, err error) {
+	if r.Params == nil {
+		return p, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: r.Method + ": parameters are missing"}
+	}
+	if err := json.Unmarshal(*r.Params, &p); err != nil {
+		return p, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: r.Method + ": " + err.Error()}
+	}
+	return p, nil
+}
+
+// since returns what a peer does not have yet.
+func (i *Instance) since(p sinceParams) (any, error) {
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.catalog.Complete() {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "nothing is known yet"}
+	}
+	age, good := i.catalog.Age(now)
+	b, err := wire.EncodeChange(&wire.Change{
+		After: p.Revision, Age: wire.ToMillis(age), Good: wire.ToMillisDown(good),
+		Change: i.catalog.Since(now, p.Revision, p.Version),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return sinceResult{b}, nil
+}
--- /dev/null
+++ b/node/edge/calls.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"egrettack.example/core/catalog"
+	wire "egrettack.example/wire/fleet"
+)
+
+const (
+	methodSince = "catalog.since"
+
+	// callTimeout bounds one call between instances, connecting included.
+	callTimeout = 1500 * time.Millisecond
+	// maxRequest bounds what a caller may send on one connection, bytes.
+	maxRequest = 16 << 10
+	// maxReply bounds what a call may return, bytes: everything at the design
+	// size takes about 700 KB.
+	maxReply = 8 << 20
+	// maxCalls bounds the calls served at once.
+	maxCalls = 32
+)
+
+type sinceParams struct {
+	Revision catalog.Revision `json:"revision"`
+	Version  catalog.Version  `json:"version"`
+}
+
+type sinceResult struct {
+	Change []byte `json:"change"`
+}
+
+// discardLog drops what jsonrpc2 logs: closed connections, which the caller
+// sees as errors.
+var discardLog = log.New(io.Discard, "", 0)
+
+// limited bounds what is read from a connection.
+type limited struct {
+	net.Conn
+	io.Reader
+}
+
+func (l limited) Read(b []byte) (int, error) { return l.Reader.Read(b) }
+
+func newStream(conn net.Conn, limit int64) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(limited{conn, io.LimitReader(conn, limit)}, jsonrpc2.VarintObjectCodec{})
+}
+
+// serveCalls answers the calls of peers and operators until ctx is done. Each
+// connection carries calls for callTimeout, so that silent ones do not pile up.
+func (i *Instance) serveCalls(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	slots := make(chan struct{}, maxCalls)
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return trace.Wrap(err, "accept calls on %s", l.Addr())
+		}
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				defer func() { <-slots }()
+				i.serveCall(ctx, conn)
+			}()
+		default:
+			i.log.Warn("call refused", "peer", conn.RemoteAddr(), "limit", maxCalls)
+			conn.Close()
+		}
+	}
+}
+
+func (i *Instance) serveCall(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return
+	}
+	handler := jsonrpc2.HandlerWithError(i.answer).SuppressErrClosed()
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequest), handler, jsonrpc2.SetLogger(discardLog))
+	<-rpc.DisconnectNotify()
+}
+
+// pullChange fetches what the instance at addr knows beyond have.
+func pullChange(ctx context.Context, addr netip.AddrPort, have position) (*wire.Change, error) {
+	var r sinceResult
+	if err := call(ctx, addr, methodSince, sinceParams{have.revision, have.version}, &r); err != nil {
+		return nil, err
+	}
+	return wire.DecodeChange(r.Change)
+}
+
+// call makes one call on a connection of its own.
+func call(ctx context.Context, addr netip.AddrPort, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return trace.Wrap(err, "%s at %s", method, addr)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return trace.Wrap(err, "%s at %s", method, addr)
+	}
+	none := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "a caller answers nothing"}
+	})
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxReply), none, jsonrpc2.SetLogger(discardLog))
+	defer rpc.Close()
+	return trace.Wrap(rpc.Call(ctx, method, params, result), "%s at %s", method, addr)
+}
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,9 +12,12 @@
 )
 
 const (
-	// readEvery is the interval between looks at the store's revision. A change
-	// has to be in force within 3 s, two failed reads included.
-	readEvery = 600 * time.Millisecond
+	// Parts of the time within which a change has to be in force. Readers look
+	// at the store that often; an instance whose knowledge is older than
+	// staleShare of it reads the store itself, which leaves time for two
+	// failed reads.
+	readShare  = 0.25
+	staleShare = 0.45
 	// readTimeout bounds one call; a slow store answers within 300 ms.
 	readTimeout = 700 * time.Millisecond
 	// listTimeout bounds the reading of everything.
@@ -21,32 +25,54 @@
 	// retryFirst and retryLimit are the pauses after failed reads: the first,
 	// and the one that doubling leads to.
 	retryFirst = 100 * time.Millisecond
-	retryLimit = 600 * time.Millisecond
+	retryLimit = 800 * time.Millisecond
+	// followStep is the interval at which a follower looks at the age of its
+	// knowledge.
+	followStep = 50 * time.Millisecond
 )
 
 // follow keeps the catalog current until ctx is done.
 func (i *Instance) follow(ctx context.Context) error {
 	retry := retryFirst
+	var next time.Duration // no read before that
 	for {
-		pause := readEvery
-		if err := i.read(ctx); err == nil {
-			i.storeAnswers(nil)
-			retry = retryFirst
-		} else if ctx.Err() == nil {
+		if now := i.clock.now(); now >= next && i.readDue(now) {
+			err := i.read(ctx)
+			pause := time.Duration(0)
+			if err != nil && ctx.Err() == nil {
+				i.store.Reconnect()
+				pause, retry = retry, min(2*retry, retryLimit)
+			} else {
+				retry = retryFirst
+			}
 			i.storeAnswers(err)
-			i.store.Reconnect()
-			pause, retry = retry, min(2*retry, retryLimit)
+			// The jitter keeps instances that lost the store together from
+			// reading together.
+			next = i.clock.now() + pause + rand.N(pause/4+1)
 		}
-		// The jitter keeps instances that started together from reading together.
-		pause += time.Duration(rand.Int64N(int64(pause) / 4))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(pause):
+		case <-time.After(followStep):
 		}
 	}
 }
 
+// readDue reports whether this instance reads the store now: as the reader of
+// the fleet, or since its source tells nothing new.
+func (i *Instance) readDue(now time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.catalog.Complete() {
+		return true
+	}
+	share := staleShare
+	if !i.peers.fleet.Source().IsValid() {
+		share = readShare
+	}
+	return now-i.catalog.AsOf() >= time.Duration(share*float64(i.set.ApplyWithin.Duration))
+}
+
 // read brings the catalog up to the store's present revision.
 func (i *Instance) read(ctx context.Context) error {
 	i.mu.Lock()
@@ -63,7 +89,9 @@
 	i.mu.Lock()
 	current := i.catalog.Confirm(at, rev)
 	if current {
-		i.retryHeld(i.clock.now())
+		now := i.clock.now()
+		i.retryHeld(now)
+		i.tellFollowers(now)
 	}
 	i.mu.Unlock()
 	if current {
@@ -114,29 +142,38 @@
 
 // apply takes a change that the store had at the given time.
 func (i *Instance) apply(at time.Duration, ch *catalog.Change) {
-	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.take(i.clock.now(), at, 0, ch, sourceName(netip.Addr{}))
+}
+
+// take takes a change that was current at the given time, with the store in
+// good state for a while before.
+func (i *Instance) take(now, at, good time.Duration, ch *catalog.Change, from string) {
 	was := i.catalog.Complete()
-	a := i.catalog.Apply(now, at, at, ch)
+	a := i.catalog.Apply(now, at, at-good, ch)
 	if a.Config {
 		c := i.catalog.Config()
-		i.log.Info("configuration", "version", c.Version, "revision", c.Revision, "routes", len(c.Routes))
+		i.log.Info("configuration", "version", c.Version, "revision", c.Revision, "routes", len(c.Routes),
+			"from", from, "age", now-at)
 	}
 	for _, s := range a.Added {
 		i.log.Info("server added", "server", s.Name, "service", s.Service, "addr", s.Addr, "domain", s.Domain,
-			"started", s.Started, "draining", s.Draining, "revision", s.Revision)
+			"started", s.Started, "draining", s.Draining, "revision", s.Revision, "from", from, "age", now-at)
 	}
 	for _, s := range a.Changed {
-		i.log.Info("server changed", "server", s.Name, "draining", s.Draining, "addr", s.Addr, "revision", s.Revision)
+		i.log.Info("server changed", "server", s.Name, "draining", s.Draining, "addr", s.Addr,
+			"revision", s.Revision, "from", from, "age", now-at)
 	}
 	for _, s := range a.Removed {
-		i.log.Info("server removed", "server", s.Name, "revision", ch.Revision)
+		i.log.Info("server removed", "server", s.Name, "revision", ch.Revision, "from", from, "age", now-at)
 	}
 	if !was && i.catalog.Complete() {
-		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(), "held", len(i.held.packets))
+		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(),
+			"held", len(i.held.packets), "from", from)
 	}
 	i.retryHeld(now)
+	i.tellFollowers(now)
 }
 
 // storeAnswers logs when the store is lost or regained.
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"egrettack.example/core/catalog"
+	"egrettack.example/core/fleet"
 	"egrettack.example/core/steer"
 	"egrettack.example/node/logging"
 	"egrettack.example/settings/edge"
@@ -54,27 +55,30 @@
 	// Store returns the client of the store; it tells calls of each call made.
 	Store   func(calls func(kind string, err error)) Store
 	Log     *slog.Logger
+	Level   *slog.LevelVar // of Log
 	LogLost func() uint64 // lines dropped so far
 }
 
 // Instance is one running instance.
 type Instance struct {
-	set     *edge.Settings
 	packets Packets
 	store   Store
 	log     *slog.Logger
+	level   *slog.LevelVar
 	clock   clock
 	metrics *metrics
 	socket  *net.UDPConn
 
-	// mu guards the catalog, the engine and what is held.
+	// mu guards what follows.
 	mu      sync.Mutex
+	set     *edge.Settings
 	catalog *catalog.Catalog
 	engine  *steer.Engine
 	held    held
 	lines   *logging.Limiter // of decisions on packets
 
 	state state
+	peers peers
 }
 
 // tickEvery is the interval of the engine's housekeeping.
@@ -85,7 +89,7 @@
 	s := o.Settings
 	c := catalog.New()
 	i := &Instance{
-		set: s, packets: o.Packets, log: o.Log,
+		set: s, packets: o.Packets, log: o.Log, level: o.Level,
 		clock:   newClock(),
 		catalog: c,
 		engine:  steer.New(steer.Config{Domain: s.Domain, Seed: rand.Uint64()}, c),
@@ -101,18 +105,40 @@
 		i.log.Warn("receive buffer not set", "bytes", socketBuffer, "error", err)
 	}
 	i.socket = conn
-	return i, nil
+	return i, i.openPeers()
+}
+
+// openPeers opens the socket for messages of peers.
+func (i *Instance) openPeers() error {
+	s := i.set
+	i.peers.port = uint16(s.InternalPorts[0])
+	i.peers.told = make(map[netip.Addr]follower)
+	i.peers.fleet = fleet.New(s.Packets.Addr(), s.Domain, rand.Uint64())
+	i.peers.fleet.SetSeeds(seedAddrs(s))
+	addr := netip.AddrPortFrom(s.Packets.Addr(), i.peers.port)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return trace.Wrap(err, "listen for peers on %s", addr)
+	}
+	i.peers.conn = conn
+	return nil
 }
 
 // Run serves until ctx is done and the flows have moved to other instances.
 func (i *Instance) Run(ctx context.Context) error {
 	i.log.Info("start", "domain", i.set.Domain, "packets", i.set.Packets, "store", i.set.Store, "seeds", len(i.set.Seeds))
+	calls, err := net.Listen("tcp4", netip.AddrPortFrom(i.set.Packets.Addr(), i.peers.port).String())
+	if err != nil {
+		return trace.Wrap(err, "listen for calls")
+	}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return i.receive(work) })
 	g.Go(func() error { return i.follow(work) })
 	g.Go(func() error { return i.tick(work) })
+	g.Go(func() error { return i.receivePeers(work) })
+	g.Go(func() error { return i.serveCalls(work, calls) })
 	g.Go(func() error { return i.servePages(work) })
 	g.Go(func() error {
 		select {
@@ -123,7 +149,7 @@
 		}
 		return nil
 	})
-	err := g.Wait()
+	err = g.Wait()
 	i.log.Info("stop", "error", err)
 	return err
 }
@@ -146,6 +172,9 @@
 		i.engine.Tick(now)
 		i.catalog.Forget(now)
 		i.expireHeld(now)
+		if !i.state.stopping {
+			i.tickPeers(now)
+		}
 		i.mu.Unlock()
 	}
 }
--- a/node/edge/metrics.go
+++ b/node/edge/metrics.go
@@ -13,6 +13,7 @@
 	registry   *prometheus.Registry
 	packets    *prometheus.CounterVec // action, reason
 	calls      *prometheus.CounterVec // kind, result
+	peerBytes  *prometheus.CounterVec // direction
 	malformed  prometheus.Counter
 	sendErrors prometheus.Counter
 	holdFull   prometheus.Counter
@@ -35,6 +36,7 @@
 	}
 	m.packets = vector("packets_total", "Packets by what was done with them and why.", "action", "reason")
 	m.calls = vector("store_calls_total", "Calls to the settings store.", "kind", "result")
+	m.peerBytes = vector("peer_bytes_total", "Bytes of datagrams between instances.", "direction")
 	m.malformed = counter("malformed_packets_total", "Packets that could not be read.")
 	m.sendErrors = counter("send_errors_total", "Datagrams that the kernel refused.")
 	m.holdFull = counter("hold_full_total", "Packets lost because the hold buffer was full.")
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -87,9 +87,10 @@
 	i.mu.Lock()
 	i.state.stopping = true
 	flows := i.engine.Flows()
-	i.mu.Unlock()
-	i.log.Info("stopping", "flows", flows, "grace", i.set.StopGrace)
+	i.leave()
 	limit := max(i.set.StopGrace.Duration-drainSpare, drainLeast)
+	i.mu.Unlock()
+	i.log.Info("stopping", "flows", flows, "limit", limit)
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/node/edge/peers.go
@@ -0,0 +1,253 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/core/fleet"
+	wire "egrettack.example/wire/fleet"
+)
+
+// peers exchanges changes and the picture of the fleet with other instances.
+// Its fields but conn and port are under the instance's mu.
+type peers struct {
+	conn *net.UDPConn
+	port uint16 // of all instances, for datagrams and calls
+
+	fleet   *fleet.Fleet
+	told    map[netip.Addr]follower
+	pulling bool
+
+	toldAsOf time.Duration // of the last news to all followers
+	toldAll  position
+}
+
+// position is how far the knowledge of an instance reaches.
+type position struct {
+	revision catalog.Revision
+	version  catalog.Version
+}
+
+// follower is what is known of a member that asked.
+type follower struct {
+	has  position
+	sent time.Duration // when it sent its last question, by its clock
+	at   time.Duration // when that came
+}
+
+func (i *Instance) position() position {
+	return position{i.catalog.Revision(), i.catalog.Version()}
+}
+
+// receivePeers handles the messages of peers until ctx is done.
+func (i *Instance) receivePeers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { i.peers.conn.Close() })
+	defer stop()
+	b := make([]byte, readBuffer)
+	for {
+		n, from, err := i.peers.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return trace.Wrap(err, "read messages of peers")
+		}
+		i.metrics.peerBytes.WithLabelValues("received").Add(float64(n))
+		m, err := wire.Decode(b[:n])
+		if err != nil {
+			i.log.Debug("message skipped", "peer", from, "error", err)
+			continue
+		}
+		i.hear(ctx, from.Addr().Unmap(), m)
+	}
+}
+
+// hear takes one message of a peer.
+func (i *Instance) hear(ctx context.Context, from netip.Addr, m *wire.Message) {
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if m.Kind == wire.Leave {
+		i.peers.fleet.Left(from)
+		i.settleSource(now)
+		return
+	}
+	if i.peers.fleet.Heard(now, from, m.Domain) && !i.state.stopping {
+		i.sendPeer(from, i.introduction(now, wire.Greet))
+	}
+	for _, x := range m.Members {
+		i.peers.fleet.Told(now, netip.AddrFrom4(x.Addr), m.Domains[x.Domain], x.Age.Duration())
+	}
+	switch m.Kind {
+	case wire.Ask:
+		i.peers.fleet.Asked(now, from)
+		i.peers.told[from] = follower{position{m.Revision, m.Version}, m.Sent, now}
+		i.tell(now, from)
+	case wire.Tell:
+		i.takeTold(ctx, now, from, m)
+	}
+}
+
+// takeTold takes what a peer tells of the store. What does not fit a datagram
+// is pulled.
+func (i *Instance) takeTold(ctx context.Context, now time.Duration, from netip.Addr, m *wire.Message) {
+	// The message was not sent before this, however long it took.
+	sent := min(now, m.Sent+m.Hold.Duration())
+	at := sent - m.Age.Duration()
+	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && c.After <= i.catalog.Revision() {
+		i.take(now, at, m.Good.Duration(), c.Change, from.String())
+		return
+	}
+	if m.Version <= i.catalog.Version() && i.catalog.Confirm(at, m.Revision) {
+		i.catalog.Extend(at, m.Good.Duration())
+		i.retryHeld(now)
+		i.tellFollowers(now)
+		return
+	}
+	if !i.peers.pulling {
+		i.peers.pulling = true
+		go i.pull(ctx, from)
+	}
+}
+
+// pull fetches what a peer knows beyond this instance.
+func (i *Instance) pull(ctx context.Context, from netip.Addr) {
+	i.mu.Lock()
+	have := i.position()
+	if !i.catalog.Loaded() {
+		have = position{}
+	}
+	i.mu.Unlock()
+	began := i.clock.now()
+	c, err := pullChange(ctx, netip.AddrPortFrom(from, i.peers.port), have)
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.peers.pulling = false
+	if err != nil {
+		i.log.Info("changes not pulled", "peer", from, "error", err)
+		return
+	}
+	if c.After > i.catalog.Revision() && !c.Change.Whole {
+		return
+	}
+	i.take(now, began-c.Age.Duration(), c.Good.Duration(), c.Change, from.String())
+}
+
+// tell tells a follower what it does not have. A change too large for a
+// datagram is left out, and the follower pulls it.
+func (i *Instance) tell(now time.Duration, to netip.Addr) {
+	if !i.catalog.Complete() {
+		return
+	}
+	f, have := i.peers.told[to], i.position()
+	age, good := i.catalog.Age(now)
+	m := &wire.Message{
+		Kind: wire.Tell, Domain: i.set.Domain, Revision: have.revision, Version: have.version,
+		Age: wire.ToMillis(age), Good: wire.ToMillisDown(good),
+		Sent: f.sent, Hold: wire.ToMillisDown(now - f.at),
+	}
+	if f.has != have && f.has.revision > 0 {
+		ch := i.catalog.Since(now, f.has.revision, f.has.version)
+		if !ch.Whole {
+			m.Change = &wire.Change{After: f.has.revision, Age: m.Age, Good: m.Good, Change: ch}
+		}
+	}
+	if !i.sendPeer(to, m) && m.Change != nil {
+		m.Change = nil
+		i.sendPeer(to, m)
+	}
+	f.has = have
+	i.peers.told[to] = f
+}
+
+// tellFollowers tells all followers how current this instance is, if it became
+// more current since the last time. Knowledge gets older on its way, so that
+// two members that follow each other do not tell each other the same again.
+func (i *Instance) tellFollowers(now time.Duration) {
+	asOf, have := i.catalog.AsOf(), i.position()
+	if asOf <= i.peers.toldAsOf && have == i.peers.toldAll {
+		return
+	}
+	i.peers.toldAsOf, i.peers.toldAll = asOf, have
+	for _, a := range i.peers.fleet.Followers(now) {
+		i.tell(now, a)
+	}
+}
+
+// sendPeer reports whether the message fits a datagram.
+func (i *Instance) sendPeer(to netip.Addr, m *wire.Message) bool {
+	b, err := wire.Encode(m)
+	if err != nil {
+		i.log.Error("message not encoded", "peer", to, "error", err)
+		return true
+	}
+	if len(b) > wire.MaxDatagram {
+		return false
+	}
+	i.metrics.peerBytes.WithLabelValues("sent").Add(float64(len(b)))
+	if _, err := i.peers.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(to, i.peers.port)); err != nil {
+		i.log.Debug("message not sent", "peer", to, "error", err)
+	}
+	return true
+}
+
+// tickPeers sends the messages that are due.
+func (i *Instance) tickPeers(now time.Duration) {
+	p := i.settleSource(now)
+	if p.Ask.IsValid() {
+		have := i.position()
+		m := i.introduction(now, wire.Ask)
+		m.Revision, m.Version, m.Sent = have.revision, have.version, now
+		i.sendPeer(p.Ask, m)
+	}
+	for _, a := range p.Greet {
+		i.sendPeer(a, i.introduction(now, wire.Greet))
+	}
+}
+
+// settleSource lets the fleet choose the source again and logs a change.
+func (i *Instance) settleSource(now time.Duration) fleet.Plan {
+	before := i.peers.fleet.Source()
+	p := i.peers.fleet.Tick(now, i.state.storeLost)
+	if after := i.peers.fleet.Source(); after != before {
+		i.log.Info("source", "peer", sourceName(after), "before", sourceName(before), "members", i.peers.fleet.Size())
+	}
+	return p
+}
+
+func sourceName(a netip.Addr) string {
+	if !a.IsValid() {
+		return "store"
+	}
+	return a.String()
+}
+
+// introduction is a message with a sample of the members.
+func (i *Instance) introduction(now time.Duration, k wire.Kind) *wire.Message {
+	m := &wire.Message{Kind: k, Domain: i.set.Domain}
+	index := make(map[string]uint8)
+	for _, x := range i.peers.fleet.Sample() {
+		at, ok := index[x.Domain]
+		if !ok {
+			at = uint8(len(m.Domains))
+			index[x.Domain] = at
+			m.Domains = append(m.Domains, x.Domain)
+		}
+		m.Members = append(m.Members, wire.Member{Addr: x.Addr.As4(), Domain: at, Age: wire.ToMillis(now - x.Heard)})
+	}
+	return m
+}
+
+// leave tells members that this instance stops.
+func (i *Instance) leave() {
+	i.peers.fleet.Members(func(m *fleet.Member) {
+		i.sendPeer(m.Addr, &wire.Message{Kind: wire.Leave, Domain: i.set.Domain})
+	})
+}
--- /dev/null
+++ b/node/edge/reload.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"time"
+
+	"egrettack.example/settings/edge"
+)
+
+// settingsEvery is the interval of looks at the settings file, which may also
+// change without a signal.
+const settingsEvery = 2 * time.Second
+
+// WatchSettings takes changed settings into use: when the file differs from
+// the last look, and after each signal. It returns when ctx is done.
+func (i *Instance) WatchSettings(ctx context.Context, path string, signals <-chan os.Signal) {
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	seen := fileState(path)
+	for {
+		why := "the file changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			why = "a signal"
+		case <-t.C:
+			if fileState(path) == seen {
+				continue
+			}
+		}
+		seen = fileState(path)
+		s, err := edge.Load(path)
+		if err != nil {
+			i.log.Error("settings not reloaded; the old ones stay in force", "reason", why, "error", err)
+			continue
+		}
+		i.reload(s, why)
+	}
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func fileState(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		// A file that is being replaced is there at the next look.
+		return fileStamp{}
+	}
+	return fileStamp{info.ModTime(), info.Size()}
+}
+
+// reload takes new settings into use. Addresses that this instance listens on
+// and its name stay until it starts again.
+func (i *Instance) reload(s *edge.Settings, why string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	old := i.set
+	if s.Name != old.Name || s.Domain != old.Domain || s.Packets != old.Packets || s.Health != old.Health ||
+		s.MetricsPort != old.MetricsPort || s.InternalPorts[0] != old.InternalPorts[0] || s.Store != old.Store {
+		i.log.Warn("some of the changed settings need a restart", "reason", why)
+	}
+	next := *old
+	next.Seeds, next.StopGrace, next.ApplyWithin, next.LogLevel = s.Seeds, s.StopGrace, s.ApplyWithin, s.LogLevel
+	i.set = &next
+	i.peers.fleet.SetSeeds(seedAddrs(s))
+	if err := i.level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		i.log.Error("log level not set", "level", s.LogLevel, "error", err)
+	}
+	i.log.Info("reload", "reason", why, "seeds", len(s.Seeds), "apply_within", s.ApplyWithin, "stop_grace", s.StopGrace)
+}
+
+func seedAddrs(s *edge.Settings) []netip.Addr {
+	seeds := make([]netip.Addr, 0, len(s.Seeds))
+	for _, a := range s.Seeds {
+		seeds = append(seeds, a.Addr())
+	}
+	return seeds
+}
--- a/settings/edge/edge.go
+++ b/settings/edge/edge.go
@@ -21,7 +21,9 @@
 	Store         netip.AddrPort    `json:"store" required:"true" unit:"address:port, TCP"`
 	MetricsPort   int               `json:"metrics_port" default:"0" min:"0" max:"65535" unit:"port, 0 for none"`
 	StopGrace     document.Duration `json:"stop_grace" default:"6s" min:"1s" max:"1h" unit:"us, ms, s, m, h"`
-	LogLevel      string            `json:"log_level" default:"info" oneof:"debug info warn error"`
+	// ApplyWithin is the time within which a change has to be in force.
+	ApplyWithin document.Duration `json:"apply_within" default:"3s" min:"500ms" max:"1h" unit:"us, ms, s, m, h"`
+	LogLevel    string            `json:"log_level" default:"info" oneof:"debug info warn error"`
 }
 
 // Load reads and checks the settings file. The error holds a
