--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -26,9 +26,14 @@
 	// and the one that doubling leads to.
 	retryFirst = 100 * time.Millisecond
 	retryLimit = 800 * time.Millisecond
-	// followStep is the interval at which a follower looks at the age of its
-	// knowledge.
-	followStep = 50 * time.Millisecond
+	// readLeast is the least pause between reads, while the store holds no
+	// configuration yet.
+	readLeast = 200 * time.Millisecond
+	// followLeast and followMost bound the pause between two looks at the age of
+	// the catalog. The longest is short beside the time in which a source that
+	// fell silent has to be noticed.
+	followLeast = 20 * time.Millisecond
+	followMost  = 250 * time.Millisecond
 )
 
 // follow keeps the catalog current until ctx is done.
@@ -36,9 +41,10 @@
 	retry := retryFirst
 	var next time.Duration // no read before that
 	for {
-		if now := i.clock.now(); now >= next && i.readDue(now) {
+		due := max(next, i.readDue())
+		if i.clock.now() >= due {
 			err := i.read(ctx)
-			pause := time.Duration(0)
+			pause := readLeast
 			if err != nil && ctx.Err() == nil {
 				i.store.Reconnect()
 				pause, retry = retry, min(2*retry, retryLimit)
@@ -49,28 +55,29 @@
 			// The jitter keeps instances that lost the store together from
 			// reading together.
 			next = i.clock.now() + pause + rand.N(pause/4+1)
+			due = max(next, i.readDue())
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(followStep):
+		case <-time.After(min(max(due-i.clock.now(), followLeast), followMost)):
 		}
 	}
 }
 
-// readDue reports whether this instance reads the store now: as the reader of
+// readDue returns when this instance reads the store next: as the reader of
 // the fleet, or since its source tells nothing new.
-func (i *Instance) readDue(now time.Duration) bool {
+func (i *Instance) readDue() time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.catalog.Complete() {
-		return true
+		return 0
 	}
 	share := staleShare
 	if !i.peers.fleet.Source().IsValid() {
 		share = readShare
 	}
-	return now-i.catalog.AsOf() >= time.Duration(share*float64(i.set.ApplyWithin.Duration))
+	return i.catalog.AsOf() + time.Duration(share*float64(i.set.ApplyWithin.Duration))
 }
 
 // read brings the catalog up to the store's present revision.
--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -14,7 +14,7 @@
 	// bufferBytes bounds the lines that wait to be written: about 2,000 lines.
 	bufferBytes = 256 << 10
 	// flushEvery is how long a line may wait. Writing in batches saves system calls.
-	flushEvery = 50 * time.Millisecond
+	flushEvery = 100 * time.Millisecond
 )
 
 // Writer is a bounded asynchronous writer of whole lines.
