Test the token path: catalog, steering, fleet, messages, packets, store and settings

Writing them found that a server whose token collides with another's stayed out of use after the other was gone (catalog.Forget now gives free tokens away), and that packets of a start that another start replaced were sent to its old address (they are refused now).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # The targets that README names. Everything builds into .bin.
-MODULES := core settings wire node cmd testkit
+MODULES := core settings wire node platform cmd testkit
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 # Packages with property tests, whose seed explore varies.
-PROPERTIES := ./core/engine ./core/group ./core/table ./settings/tree ./settings/published
+PROPERTIES := ./core/catalog ./core/engine ./core/fleet ./core/group ./core/table ./settings/tree ./settings/published
 BIN := $(CURDIR)/.bin
 COUNT ?= 5
 
@@ -50,7 +50,7 @@
 # Each fuzz target for FUZZTIME.
 FUZZTIME ?= 1m
 fuzz:
-	@for t in settings/published wire/ip4 wire/control wire/geneve; do \
+	@for t in settings/published wire/ip4 wire/control wire/fleet wire/geneve platform; do \
 		for f in $$(go test -list '^Fuzz' ./$$t | grep '^Fuzz'); do \
 			echo "$$t $$f"; \
 			go test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) ./$$t || exit 1; \
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,6 +34,7 @@
 	servers  map[ServerID]*Server // the latest start of each
 	byToken  map[token.Token]*Server
 	services map[string][]*Server // published, in no order
+	changes  uint64
 
 	asOf      time.Duration // the store was at revision or before at this time
 	goodSince time.Duration // start of the present span of good reads
@@ -101,6 +102,10 @@
 // ByToken returns the server that a token names, nil if it is not known.
 func (c *Catalog) ByToken(t token.Token) *Server { return c.byToken[t] }
 
+// Current returns the latest start of the server that s is a start of, nil if
+// none is known any more.
+func (c *Catalog) Current(s *Server) *Server { return c.servers[s.ID] }
+
 // Servers calls f for the latest start of each server.
 func (c *Catalog) Servers(f func(*Server)) {
 	for _, s := range c.servers {
@@ -244,8 +249,12 @@
 	a.Added = append(a.Added, &n)
 }
 
+// Changes returns a number that differs after each change of the servers.
+func (c *Catalog) Changes() uint64 { return c.changes }
+
 // index lists the published servers by service.
 func (c *Catalog) index() {
+	c.changes++
 	clear(c.services)
 	for _, s := range c.servers {
 		// A server whose token names another one cannot keep flows.
@@ -285,4 +294,20 @@
 			c.floor = max(c.floor, s.removed)
 		}
 	}
+	c.claimTokens()
+}
+
+// claimTokens gives free tokens to servers that were published while another
+// server had theirs.
+func (c *Catalog) claimTokens() {
+	claimed := false
+	for _, s := range c.servers {
+		if c.byToken[s.Token] == nil {
+			c.byToken[s.Token] = s
+			claimed = true
+		}
+	}
+	if claimed {
+		c.index()
+	}
 }
--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,223 @@
+package catalog
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"egrettack.example/core/token"
+)
+
+func server(id ServerID, rev Revision) Server {
+	return Server{
+		ID: id, Name: fmt.Sprintf("i-%x", uint64(id)), Started: 1000 + int64(id), Service: "feed", Domain: "a",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80), Slots: 2, Revision: rev,
+	}
+}
+
+func config(v Version, dests ...string) *Config {
+	c := &Config{Version: v, Revision: Revision(v)}
+	for _, d := range dests {
+		c.Routes = append(c.Routes, Route{
+			Name: d, Dest: netip.MustParseAddrPort(d), Targets: []Target{{Service: "feed", Weight: 1}},
+		})
+	}
+	return c
+}
+
+const second = time.Second
+
+func list(rev Revision, cfg *Config, servers ...Server) *Change {
+	return &Change{Revision: rev, Whole: true, Config: cfg, Servers: servers}
+}
+
+// Guards against an old answer that arrives late: neither the configuration nor
+// the servers may go back.
+func TestOldAnswersDoNotMoveBack(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(5, "1.1.1.1:80"), server(1, 3), server(2, 9)))
+	a := c.Apply(2*second, second/2, second/2, list(8, config(4, "2.2.2.2:80"), server(1, 3)))
+	g.Expect(a.Stale).To(BeTrue())
+	g.Expect(a.Config).To(BeFalse())
+	g.Expect(c.Version()).To(Equal(Version(5)))
+	g.Expect(c.Service("feed")).To(HaveLen(2))
+	g.Expect(c.AsOf()).To(Equal(second))
+}
+
+// Guards against a configuration that is lost since the servers that come with
+// it are older than those known.
+func TestNewConfigurationWithOldServers(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(5, "1.1.1.1:80"), server(1, 3)))
+	a := c.Apply(second, second, second, &Change{Revision: 9, Config: config(6, "1.1.1.1:80")})
+	g.Expect(a.Config).To(BeTrue())
+	g.Expect(c.Version()).To(Equal(Version(6)))
+	g.Expect(c.Revision()).To(Equal(Revision(10)))
+}
+
+// Guards against a store that is ahead of the catalog counting as confirmed.
+func TestConfirm(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(1, 3)))
+	g.Expect(c.Confirm(2*second, 11)).To(BeFalse())
+	g.Expect(c.AsOf()).To(Equal(second))
+	g.Expect(c.Confirm(2*second, 10)).To(BeTrue())
+	g.Expect(c.AsOf()).To(Equal(2 * second))
+}
+
+// Guards against resets of flows whose server may still live: an entry that
+// lapsed while the store was away must stay missing for a while after its
+// return.
+func TestGoneNeedsAGoodStore(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(1, 3), server(2, 4)))
+	s := c.ByToken(token.Of(1, 1001))
+	// The store is away from 1 s to 20 s and then has no entry of server 1.
+	c.Apply(20*second, 20*second, 20*second, list(12, nil, server(2, 4)))
+	g.Expect(s.Published()).To(BeFalse())
+	for at := 20 * second; at <= 22*second; at += second / 2 {
+		c.Confirm(at, 12)
+		g.Expect(c.Gone(at, s)).To(BeFalse(), "at %s", at)
+	}
+	c.Confirm(23*second, 12)
+	g.Expect(c.Gone(23*second, s)).To(BeTrue())
+}
+
+// Guards against a server that comes back under its number being taken for the
+// start whose flows it has lost.
+func TestServerStartsAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(1, 3)))
+	old := c.ByToken(token.Of(1, 1001))
+	again := server(1, 12)
+	again.Started = 9000
+	c.Apply(2*second, 2*second, 2*second, &Change{Revision: 12, Servers: []Server{again}})
+	g.Expect(c.ByToken(token.Of(1, 1001))).To(BeIdenticalTo(old), "packets of old flows still find the number")
+	g.Expect(c.Gone(2*second, old)).To(BeTrue())
+	g.Expect(c.Service("feed")).To(HaveLen(1))
+	g.Expect(c.Service("feed")[0].Token).To(Equal(token.Of(1, 9000)))
+	g.Expect(c.Current(old)).To(BeIdenticalTo(c.Service("feed")[0]))
+}
+
+// collide returns two server numbers whose tokens are equal for the starts
+// that server gives them.
+func collide(t *testing.T) (a, b ServerID) {
+	t.Helper()
+	seen := make(map[token.Token]ServerID)
+	for id := ServerID(1); id < 1<<22; id++ {
+		x := token.Of(uint64(id), 1000+int64(id))
+		if other, ok := seen[x]; ok {
+			return other, id
+		}
+		seen[x] = id
+	}
+	t.Fatal("no two tokens collide")
+	return 0, 0
+}
+
+// Guards against flows of one server delivered to another whose token is the
+// same: the later one gets no flows until the earlier one is gone.
+func TestCollidingTokens(t *testing.T) {
+	g := NewWithT(t)
+	a, b := collide(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(a, 3)))
+	c.Apply(second, second, second, &Change{Revision: 11, Servers: []Server{server(b, 11)}})
+	g.Expect(c.ByToken(token.Of(uint64(b), 1000+int64(b))).ID).To(Equal(a))
+	g.Expect(c.Service("feed")).To(HaveLen(1))
+	g.Expect(c.Service("feed")[0].ID).To(Equal(a))
+	c.Apply(2*second, 2*second, 2*second, &Change{Revision: 12, Removed: []Removal{{ID: a, Revision: 12}}})
+	c.Forget(2*second + keepMissing)
+	g.Expect(c.Service("feed")).To(HaveLen(1))
+	g.Expect(c.Service("feed")[0].ID).To(Equal(b))
+}
+
+// Guards against old flows of a changed route being turned away, and against
+// new services that the route never had.
+func TestFormerServicesOfARoute(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	dest := netip.MustParseAddrPort("1.1.1.1:80")
+	c.Apply(second, second, second, list(10, config(1, dest.String()), server(1, 3)))
+	next := config(2, dest.String())
+	next.Routes[0].Targets = []Target{{Service: "upload", Weight: 1}}
+	c.Apply(second, second, second, &Change{Revision: 11, Config: next})
+	r := c.Route(dest)
+	g.Expect(r.Leads("feed")).To(BeFalse())
+	g.Expect(c.MayLead(r, "feed")).To(BeTrue())
+	g.Expect(c.MayLead(r, "upload")).To(BeTrue())
+	g.Expect(c.MayLead(r, "other")).To(BeFalse())
+	// A route that went away and came back leads nowhere else.
+	c.Apply(second, second, second, &Change{Revision: 12, Config: config(3)})
+	c.Apply(second, second, second, &Change{Revision: 13, Config: next4(dest)})
+	g.Expect(c.MayLead(c.Route(dest), "feed")).To(BeFalse())
+}
+
+func next4(dest netip.AddrPort) *Config {
+	c := config(4, dest.String())
+	c.Routes[0].Targets[0].Service = "upload"
+	return c
+}
+
+// Guards against a peer that is told a part of the changes: whatever it has,
+// what Since returns brings it to the same state.
+func TestSinceReachesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := New(), New()
+		rev := Revision(1)
+		source.Apply(second, second, second, list(rev, config(1, "1.1.1.1:80")))
+		now := second
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 40_000).Draw(t, "gap")) * time.Millisecond
+			rev++
+			id := ServerID(rapid.IntRange(1, 6).Draw(t, "server"))
+			switch rapid.SampledFrom([]string{"put", "remove", "config", "pull", "forget"}).Draw(t, "do") {
+			case "put":
+				s := server(id, rev)
+				s.Draining = rapid.Bool().Draw(t, "draining")
+				source.Apply(now, now, now, &Change{Revision: rev, Servers: []Server{s}})
+			case "remove":
+				source.Apply(now, now, now, &Change{Revision: rev, Removed: []Removal{{ID: id, Revision: rev}}})
+			case "config":
+				source.Apply(now, now, now, &Change{Revision: rev, Config: config(Version(rev), "1.1.1.1:80")})
+			case "pull":
+				if follower.Complete() {
+					follower.Apply(now, now, now, source.Since(now, follower.Revision(), follower.Version()))
+				} else {
+					follower.Apply(now, now, now, source.Since(now, 0, 0))
+				}
+			case "forget":
+				source.Forget(now)
+			}
+		}
+		if !follower.Loaded() {
+			return
+		}
+		follower.Apply(now, now, now, source.Since(now, follower.Revision(), follower.Version()))
+		if a, b := published(source), published(follower); a != b {
+			t.Fatalf("source has %s, follower %s", a, b)
+		}
+		if source.Version() != follower.Version() {
+			t.Fatalf("source has version %d, follower %d", source.Version(), follower.Version())
+		}
+	})
+}
+
+func published(c *Catalog) string {
+	found := map[ServerID]bool{}
+	c.Servers(func(s *Server) {
+		if s.Published() {
+			found[s.ID] = s.Draining
+		}
+	})
+	return fmt.Sprint(found)
+}
--- /dev/null
+++ b/core/steer/bench_test.go
@@ -0,0 +1,56 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"egrettack.example/core/catalog"
+)
+
+func benchLab(servers int) (*Engine, *catalog.Catalog) {
+	c := catalog.New()
+	ch := &catalog.Change{Revision: 1, Whole: true, Config: &catalog.Config{Version: 1, Routes: []catalog.Route{
+		{Dest: feed, Targets: []catalog.Target{{Service: "feed", Weight: 1}}},
+	}}}
+	for i := range servers {
+		s := server(catalog.ServerID(i+1), "feed", fmt.Sprint("d", i%7))
+		ch.Servers = append(ch.Servers, s)
+	}
+	c.Apply(1, 1, 1, ch)
+	return New(Config{Domain: "d0", Seed: 1}, c), c
+}
+
+// BenchmarkEstablished decides on packets of open flows.
+func BenchmarkEstablished(b *testing.B) {
+	e, c := benchLab(150)
+	var packets []Packet
+	for i := range 10_000 {
+		s := c.Service("feed")[i%150]
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 1025)
+		packets = append(packets, Packet{Caller: from, Dest: feed, ACK: true, Seq: 1, Ack: 1, Token: s.Token})
+		e.Decide(time.Second, &packets[i])
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		e.Decide(time.Second, &packets[i%len(packets)])
+	}
+}
+
+// BenchmarkOpening places new flows.
+func BenchmarkOpening(b *testing.B) {
+	for _, n := range []int{150, 3500} {
+		b.Run(fmt.Sprint(n, "servers"), func(b *testing.B) {
+			e, _ := benchLab(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(64 + i>>24), byte(i >> 16), byte(i >> 8)}), uint16(i)|1024)
+				p := Packet{Caller: from, Dest: feed, SYN: true, Seq: uint32(i)}
+				v := e.Decide(time.Second, &p)
+				p.SYN, p.RST, p.Token = false, true, v.Server.Token
+				e.Decide(time.Second, &p)
+			}
+		})
+	}
+}
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -45,6 +45,40 @@
 	return l
 }
 
+// candidate is a server that may get new flows.
+type candidate struct {
+	server *catalog.Server
+	load   *load
+}
+
+// pool is the candidates of one service, those of the own failure domain apart.
+type pool struct{ own, other []candidate }
+
+// pool returns the candidates of a service. They are collected again when the
+// catalog has changed.
+func (e *Engine) pool(service string) *pool {
+	if rev := e.catalog.Changes(); rev != e.pooled {
+		clear(e.pools)
+		e.pooled = rev
+	}
+	p := e.pools[service]
+	if p != nil {
+		return p
+	}
+	p = &pool{}
+	for _, s := range e.catalog.Service(service) {
+		switch c := (candidate{s, e.load(s)}); {
+		case s.Draining:
+		case s.Domain == e.cfg.Domain:
+			p.own = append(p.own, c)
+		default:
+			p.other = append(p.other, c)
+		}
+	}
+	e.pools[service] = p
+	return p
+}
+
 func (l *load) sent(now time.Duration) {
 	if l.waiting == 0 {
 		l.waiting = max(now, 1)
@@ -64,17 +98,14 @@
 	return l.waiting > 0 && now-l.waiting > silentAfter && now-l.trial < trialEvery
 }
 
-// level is the load that one more request gives the server, 1 for all slots.
-func (e *Engine) level(now time.Duration, s *catalog.Server) float64 {
-	l := e.load(s)
+// level is the load that one more request gives a server, 1 for all slots.
+func (c *candidate) level(now time.Duration) float64 {
+	s, l := c.server, c.load
 	speed := 1.0
 	if now < s.FirstSeen+s.Cold {
 		speed = coldSpeed
 	}
 	x := (float64(l.busy+1) + openWeight*float64(l.open)) / (float64(max(s.Slots, 1)) * speed)
-	if s.Domain != e.cfg.Domain {
-		x += crossPenalty
-	}
 	if l.silent(now) {
 		x += silentPenalty
 	}
@@ -83,22 +114,33 @@
 
 // choose returns the least loaded server for a new flow of the route, nil if
 // there is none. Servers that f has tried come last.
-func (e *Engine) choose(now time.Duration, r *catalog.Route, f *entry) (best *catalog.Server, least float64) {
+func (e *Engine) choose(now time.Duration, r *catalog.Route, f *entry) (*catalog.Server, float64) {
+	p := e.pool(e.target(r))
+	best, least := e.least(now, p.own, f)
+	if best != nil && least <= crossPenalty {
+		return best, least
+	}
+	if far, x := e.least(now, p.other, f); far != nil && (best == nil || x+crossPenalty < least) {
+		return far, x
+	}
+	return best, least
+}
+
+// least returns the candidate with the lowest level, a random one of equals.
+func (e *Engine) least(now time.Duration, list []candidate, f *entry) (best *catalog.Server, least float64) {
 	ties := 0
-	for _, s := range e.catalog.Service(e.target(r)) {
-		if s.Draining {
-			continue
-		}
-		x := e.level(now, s)
-		if f != nil && slices.Contains(f.tried, s) {
+	for i := range list {
+		c := &list[i]
+		x := c.level(now)
+		if f != nil && slices.Contains(f.tried, c.server) {
 			x += 2 * silentPenalty
 		}
 		switch {
 		case best == nil || x < least:
-			best, least, ties = s, x, 1
+			best, least, ties = c.server, x, 1
 		case x == least:
 			if ties++; e.random.IntN(ties) == 0 {
-				best = s
+				best = c.server
 			}
 		}
 	}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -19,6 +19,8 @@
 	catalog *catalog.Catalog
 	flows   map[Key]*entry
 	loads   map[*catalog.Server]*load
+	pools   map[string]*pool // by service, for the catalog's state pooled
+	pooled  uint64
 	random  *rand.Rand
 	sweep   []Key // flows to look at in the present round
 }
@@ -30,6 +32,7 @@
 		cfg: cfg, catalog: c,
 		flows:  make(map[Key]*entry),
 		loads:  make(map[*catalog.Server]*load),
+		pools:  make(map[string]*pool),
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
 	}
 }
@@ -99,8 +102,11 @@
 		return Verdict{Action: Hold, Reason: UnknownToken}
 	case !e.catalog.MayLead(route, s.Service):
 		return Verdict{Action: Drop, Reason: WrongService}
-	case e.catalog.Gone(now, s) && !s.Published():
+	case e.catalog.Gone(now, s):
 		e.forget(key)
+		if p.RST {
+			return Verdict{Action: Drop, Reason: ServerGone, Server: s}
+		}
 		return Verdict{Action: Reset, Reason: ServerGone, Server: s}
 	}
 	e.observe(now, key, f, s, p)
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -56,7 +56,7 @@
 	Store   func(calls func(kind string, err error)) Store
 	Log     *slog.Logger
 	Level   *slog.LevelVar // of Log
-	LogLost func() uint64 // lines dropped so far
+	LogLost func() uint64  // lines dropped so far
 }
 
 // Instance is one running instance.
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -75,9 +75,7 @@
 	case steer.Forward:
 		i.send(i.packets.Forward(out[:0], data, v.Server), v.Server.Addr)
 	case steer.Reset:
-		if !p.RST {
-			i.send(i.packets.Reset(out[:0], p))
-		}
+		i.send(i.packets.Reset(out[:0], p))
 	case steer.Hold:
 		i.hold(now, data, p)
 	}
--- /dev/null
+++ b/node/logging/logging_test.go
@@ -0,0 +1,74 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Guards against work that waits for its log, and against memory that grows
+// with it: with an output that takes nothing, lines are dropped and counted.
+func TestNeverBlocks(t *testing.T) {
+	g := NewWithT(t)
+	out := &stuck{release: make(chan struct{})}
+	w := NewWriter(out)
+	line := []byte(strings.Repeat("x", 127) + "\n")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 4 * bufferBytes / len(line) {
+			w.Write(line)
+		}
+	}()
+	g.Eventually(done, 5*time.Second).Should(BeClosed())
+	g.Expect(w.Dropped()).To(BeNumerically(">", 0))
+	close(out.release)
+	g.Expect(w.Close()).To(Succeed())
+	g.Expect(out.got.Len() % len(line)).To(BeZero())
+}
+
+// Guards against the last lines of a process being lost at its end.
+func TestCloseWritesAll(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	w.Write([]byte("a\n"))
+	w.Write([]byte("b\n"))
+	g.Expect(w.Close()).To(Succeed())
+	g.Expect(out.String()).To(Equal("a\nb\n"))
+}
+
+// Guards against more lines than the limit, and against silence on how many
+// were held back.
+func TestLimiter(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLimiter(10)
+	allowed := 0
+	for range 100 {
+		if ok, _ := l.Allow(time.Second); ok {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(Equal(10))
+	ok, suppressed := l.Allow(2 * time.Second)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(suppressed).To(Equal(uint64(90)))
+}
--- a/settings/edge/edge.go
+++ b/settings/edge/edge.go
@@ -11,16 +11,17 @@
 
 // Settings are the settings of one instance.
 type Settings struct {
-	Name          string            `json:"name" required:"true"`
-	Domain        string            `json:"domain" required:"true"`
-	Packets       netip.AddrPort    `json:"packets" required:"true" unit:"address:port, UDP"`
-	Health        netip.AddrPort    `json:"health" required:"true" unit:"address:port, TCP"`
-	Control       netip.AddrPort    `json:"control" required:"true" unit:"address:port, UDP"`
-	InternalPorts []int             `json:"internal_ports" required:"true" min:"1" max:"65535" unit:"first and last port"`
-	Seeds         []netip.AddrPort  `json:"seeds" unit:"address:port, UDP"`
-	Store         netip.AddrPort    `json:"store" required:"true" unit:"address:port, TCP"`
-	MetricsPort   int               `json:"metrics_port" default:"0" min:"0" max:"65535" unit:"port, 0 for none"`
-	StopGrace     document.Duration `json:"stop_grace" default:"6s" min:"1s" max:"1h" unit:"us, ms, s, m, h"`
+	Name          string         `json:"name" required:"true"`
+	Domain        string         `json:"domain" required:"true"`
+	Packets       netip.AddrPort `json:"packets" required:"true" unit:"address:port, UDP"`
+	Health        netip.AddrPort `json:"health" required:"true" unit:"address:port, TCP"`
+	InternalPorts []int          `json:"internal_ports" required:"true" min:"1" max:"65535" unit:"first and last port"`
+	// Seeds are other instances; only their addresses count, since all
+	// instances use the same internal ports.
+	Seeds       []netip.AddrPort  `json:"seeds" unit:"address:port"`
+	Store       netip.AddrPort    `json:"store" required:"true" unit:"address:port, TCP"`
+	MetricsPort int               `json:"metrics_port" default:"0" min:"0" max:"65535" unit:"port, 0 for none"`
+	StopGrace   document.Duration `json:"stop_grace" default:"6s" min:"1s" max:"1h" unit:"us, ms, s, m, h"`
 	// ApplyWithin is the time within which a change has to be in force.
 	ApplyWithin document.Duration `json:"apply_within" default:"3s" min:"500ms" max:"1h" unit:"us, ms, s, m, h"`
 	LogLevel    string            `json:"log_level" default:"info" oneof:"debug info warn error"`
--- /dev/null
+++ b/settings/edge/edge_test.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"egrettack.example/settings/document"
+)
+
+const example = `{
+	// comments are allowed
+	"name": "front-a-1", "domain": "a",
+	"packets": "10.1.0.10:8172", "health": "10.1.0.10:8167",
+	"internal_ports": [7720, 7735], "seeds": ["10.1.0.10:8166"],
+	"store": "10.200.1.7:8169", "apply_within": "3000ms", "stop_grace": "6s",
+}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse("x", []byte(example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "front-a-1" || s.Store.Port() != 8169 || s.ApplyWithin.Duration != 3*time.Second || s.LogLevel != "info" {
+		t.Errorf("got %+v", s)
+	}
+}
+
+// Guards against settings that are wrong being taken, and against errors that
+// do not name the field.
+func TestParseRefuses(t *testing.T) {
+	for field, change := range map[string][2]string{
+		"name":           {`"name": "front-a-1"`, `"name": ""`},
+		"packets":        {`10.1.0.10:8172`, `10.1.0.10`},
+		"internal_ports": {`[7720, 7735]`, `[7735, 7720]`},
+		"store":          {`"store": "10.200.1.7:8169",`, ``},
+		"apply_within":   {`3000ms`, `3000`},
+		"stop_grace":     {`6s`, `0s`},
+		"unknown_field":  {`"domain"`, `"unknown_field": 1, "domain"`},
+	} {
+		_, err := Parse("x", []byte(strings.Replace(example, change[0], change[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// Guards against a default that the decoder does not take.
+func TestDefaults(t *testing.T) {
+	s, err := Parse("x", []byte(strings.ReplaceAll(example, `"apply_within": "3000ms", "stop_grace": "6s",`, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.StopGrace != (document.Duration{Duration: 6 * time.Second}) || s.ApplyWithin.Duration != 3*time.Second {
+		t.Errorf("got %+v", s)
+	}
+}
--- /dev/null
+++ b/wire/fleet/message_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"egrettack.example/core/catalog"
+)
+
+func sample() *Message {
+	return &Message{
+		Kind: Tell, Domain: "a", Revision: 41, Version: 7, Age: 12, Good: 3000,
+		Domains: []string{"a", "b"},
+		Members: []Member{{Addr: [4]byte{10, 0, 0, 1}, Domain: 1, Age: 250}},
+		Change: &Change{After: 40, Change: &catalog.Change{Revision: 41, Servers: []catalog.Server{{
+			ID: 9, Name: "i-9", Started: 1777524144506, Service: "feed", Domain: "b",
+			Addr: netip.MustParseAddrPort("10.0.0.9:80"), Slots: 2, Draining: true, Cold: time.Second, Revision: 41,
+		}}}},
+		Sent: 1234567, Hold: 20,
+	}
+}
+
+// Guards against a field that is lost on its way.
+func TestRoundTrip(t *testing.T) {
+	b, err := Encode(sample())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, sample()) {
+		t.Errorf("got %+v", got)
+	}
+	cfg := &catalog.Change{Revision: 3, Whole: true, Config: &catalog.Config{Version: 2, Routes: []catalog.Route{{
+		Name: "r", Dest: netip.MustParseAddrPort("1.1.1.1:80"), Kind: catalog.Upload, Priority: 2,
+		Targets: []catalog.Target{{Service: "s", Weight: 3}},
+	}}, IdleTimeout: time.Second}, Removed: []catalog.Removal{{ID: 1, Revision: 2}}}
+	b, err = EncodeChange(&Change{After: 1, Age: 5, Change: cfg})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := DecodeChange(b)
+	if err != nil || !reflect.DeepEqual(c.Change, cfg) {
+		t.Errorf("got %+v, %v", c, err)
+	}
+}
+
+// Guards against the receiver's own fields reaching a peer.
+func TestOwnFieldsAreNotTold(t *testing.T) {
+	m := sample()
+	m.Change.Change.Servers[0].Missing, m.Change.Change.Servers[0].Token = 5, 7
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := got.Change.Change.Servers[0]; s.Missing != 0 || s.Token != 0 {
+		t.Errorf("got %+v", s)
+	}
+}
+
+// Guards against knowledge that gets younger by rounding.
+func TestMillis(t *testing.T) {
+	if ToMillis(1) != 1 || ToMillisDown(1) != 0 || ToMillis(-5) != 0 || ToMillis(time.Hour*10_000) != 1<<31 {
+		t.Error("ages are rounded up and bounded, times since down")
+	}
+}
+
+// Guards against the design size exceeding what a call may carry.
+func TestWholeCatalogFitsACall(t *testing.T) {
+	ch := &catalog.Change{Revision: 1, Whole: true, Config: &catalog.Config{Version: 1}}
+	for i := range 3500 {
+		s := sample().Change.Change.Servers[0]
+		s.ID, s.Name = catalog.ServerID(i), fmt.Sprintf("i-%010x", i)
+		ch.Servers = append(ch.Servers, s)
+	}
+	for i := range 500 {
+		ch.Config.Routes = append(ch.Config.Routes, catalog.Route{
+			Name: fmt.Sprint("route-", i), Dest: netip.MustParseAddrPort("198.18.0.1:8080"),
+			Targets: []catalog.Target{{Service: "service", Weight: 1}},
+		})
+	}
+	b, err := EncodeChange(&Change{Change: ch})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DecodeChange(b); err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > 700_000 {
+		t.Errorf("the catalog at the design size takes %d bytes", len(b))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := Encode(sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		for _, x := range m.Members {
+			_ = m.Domains[x.Domain] // panics if Decode let it pass
+		}
+		if _, err := Encode(m); err != nil {
+			t.Errorf("decoded but not encoded: %v", err)
+		}
+	})
+}
