Add a stand-in of the platform around token instances, and a fault soak

testkit/edge plays the store, backend servers that answer callers directly, callers with the retransmissions of the platform's pages and routers of both hashes; the instances are real processes. make soak SEED= RUNS= draws kills, stops, pauses, reloads, cut, delayed, reset and silent store connections, store faults, server changes and configurations from a seed, checks the promises from the callers' and servers' side, and writes a report and a plot.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(CURDIR)/.bin
 COUNT ?= 5
 
-.PHONY: build test explore lint scenarios bench demo fuzz clean
+.PHONY: build test explore lint scenarios soak bench demo demo-platform fuzz clean
 
 build:
 	@mkdir -p $(BIN)
@@ -39,6 +39,14 @@
 scenarios: build
 	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
 
+# Runs of random faults against instances with affinity by token, from SEED on.
+# Reports and plots go to SOAK_DIR.
+RUNS ?= 1
+SOAK_DIR ?= $(BIN)/soak
+soak: build
+	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) RUNS=$(RUNS) SOAK_DIR=$(SOAK_DIR) \
+		go test -count=1 -timeout 60m -parallel 4 -run TestSoak -v ./testkit/edge
+
 # Go benchmark format; the rows go to docs/BENCHMARKS.md. PART=local leaves the
 # benchmarks with daemons out.
 bench: build $(BIN)/benchstat
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -59,11 +59,10 @@
 	Domain string
 	Heard  time.Duration // when it was last heard of, by anybody
 
-	rank      uint64
-	avoid     time.Duration // left out as a source until then
-	followed  time.Duration // end of its lease as a follower
-	unheeded  time.Duration // since when questions to it are unanswered, 0 for none
-	responded time.Duration // when it last answered
+	rank     uint64
+	avoid    time.Duration // left out as a source until then
+	followed time.Duration // end of its lease as a follower
+	unheeded time.Duration // since when questions to it are unanswered, 0 for none
 }
 
 // Fleet is one instance's picture of the others. It is not safe for concurrent
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -282,8 +282,8 @@
 	l := newLab(t)
 	from := l.caller()
 	s := l.syn(from, feed, 0).Server
-	l.answer(from, feed, s)
-	seq, ack := uint32(101), uint64(1)
+	seq, ack := uint32(101), uint32(1<<32-2500) // positions wrap round on the way
+	l.e.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: seq, Ack: ack, Token: s.Token})
 	l.e.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: seq, Ack: ack, Len: 50, Token: s.Token})
 	seq += 50
 	for range 5 {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -28,7 +28,7 @@
 	tried   []*catalog.Server // servers that got an opening packet
 	seq     uint32            // of the opening packet
 	next    uint32            // end of the data seen
-	ack     uint64            // highest acknowledgement seen
+	ack     uint32            // highest acknowledgement seen
 	acked   bool              // a packet after the handshake was seen
 	busy    bool              // counted as a request in progress
 	began   time.Duration     // of the request in progress
@@ -101,9 +101,10 @@
 		e.load(s).open++
 	}
 	f.last = now
-	if !f.acked || p.Ack > f.ack {
+	// Positions of a flow wrap round.
+	if progress := int32(p.Ack-f.ack) > 0; !f.acked || progress {
 		e.load(s).alive(now)
-		if f.acked && f.busy && p.Ack > f.ack {
+		if f.acked && f.busy && progress {
 			e.load(s).answered(now - f.began)
 			e.end(f)
 		}
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -16,7 +16,7 @@
 	Caller, Dest       netip.AddrPort
 	SYN, ACK, FIN, RST bool
 	Seq                uint32
-	Ack                uint64
+	Ack                uint32
 	Copy               int // of a SYN: how many were sent before it
 	Len                int // bytes of data
 	Token              token.Token
--- /dev/null
+++ b/testkit/edge/city.go
@@ -0,0 +1,272 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Config of a City.
+type Config struct {
+	Program    string // the instance's program
+	Dir        string // for settings and logs
+	Domains    []string
+	Instances  int // a domain
+	Servers    int // a domain and service
+	Callers    int // a domain
+	Hash       string
+	Work       time.Duration // mean time of a request
+	ApplyBound time.Duration
+	DrainBound time.Duration
+	Settle     time.Duration // after trouble, until an instance counts as in touch
+	PacketPort uint16
+	Net        byte // second byte of all addresses, so that cities can run side by side
+}
+
+// DefaultConfig is a city of two domains that runs on a laptop.
+func DefaultConfig() Config {
+	return Config{
+		Domains: []string{"a", "b"}, Instances: 2, Servers: 4, Callers: 3, Hash: "steady",
+		Work: 20 * time.Millisecond, ApplyBound: 3 * time.Second, DrainBound: 3 * time.Second,
+		Settle: 4 * time.Second, PacketPort: 8172, Net: 80,
+	}
+}
+
+// Services and their addresses.
+const (
+	Feed   = "feed"
+	Upload = "upload"
+)
+
+// City is a whole deployment.
+type City struct {
+	cfg       Config
+	Store     *Store
+	Instances []*Instance
+	http      *http.Server
+	cancel    context.CancelFunc
+	started   time.Time
+
+	mu         sync.Mutex
+	servers    []*Server
+	callers    []*Caller
+	nextServer int
+	freeAddrs  []netip.AddrPort // of servers that ended
+	routes     map[netip.AddrPort]*routeHistory
+	version    int
+	runs       map[uint64]int
+	violations []string
+	storeSick  time.Time // end of the last trouble with the store
+	served     []sample
+}
+
+// routeHistory is what configurations said of an address.
+type routeHistory struct {
+	service string
+	removed time.Time // zero while the route is in force
+}
+
+// New starts a city: the store, servers, callers and instances.
+func New(cfg Config) (*City, error) {
+	c := &City{
+		cfg: cfg, Store: NewStore(50), routes: make(map[netip.AddrPort]*routeHistory),
+		runs: make(map[uint64]int), started: time.Now(),
+	}
+	l, err := net.Listen("tcp4", c.ip(0, 1).String()+":0")
+	if err != nil {
+		return nil, trace.Wrap(err, "the store's address")
+	}
+	c.http = &http.Server{Handler: c.Store}
+	go c.http.Serve(l)
+	if err := c.Configure(c.Dest(Feed), c.Dest(Upload)); err != nil {
+		return c, err
+	}
+	for d, domain := range cfg.Domains {
+		for range cfg.Servers {
+			for _, service := range []string{Feed, Upload} {
+				if _, err := c.AddServer(service, domain); err != nil {
+					return c, err
+				}
+			}
+		}
+		for n := range cfg.Callers {
+			k, err := c.newCaller(c.ip(byte(10+d), byte(n+1)), domain)
+			if err != nil {
+				return c, err
+			}
+			c.callers = append(c.callers, k)
+		}
+		for n := range cfg.Instances {
+			if err := c.addInstance(domain, byte(20+d), byte(n+1), l.Addr().String()); err != nil {
+				return c, err
+			}
+		}
+	}
+	for _, i := range c.Instances {
+		if err := i.Start(); err != nil {
+			return c, err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go c.watchReady(ctx)
+	return c, c.waitReady()
+}
+
+func (c *City) ip(x, y byte) netip.Addr { return netip.AddrFrom4([4]byte{127, c.cfg.Net, x, y}) }
+
+func (c *City) addInstance(domain string, x, y byte, store string) error {
+	i := &Instance{Domain: domain, city: c, number: len(c.Instances), addr: c.ip(x, y)}
+	p, err := newProxy(i.addr.String()+":0", store)
+	if err != nil {
+		return trace.Wrap(err, "proxy of %s", i.Name())
+	}
+	i.proxy = p
+	c.Instances = append(c.Instances, i)
+	return nil
+}
+
+// waitReady waits until every instance is in rotation.
+func (c *City) waitReady() error {
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		c.mu.Lock()
+		n := 0
+		for _, i := range c.Instances {
+			if i.inRotation {
+				n++
+			}
+		}
+		c.mu.Unlock()
+		if n == len(c.Instances) {
+			return nil
+		}
+	}
+	return trace.LimitExceeded("the instances are not ready after 10 s")
+}
+
+// Close ends everything, the instances by SIGKILL.
+func (c *City) Close() {
+	for _, i := range c.Instances {
+		if i.cmd != nil && i.cmd.Process != nil {
+			_ = i.cmd.Process.Signal(syscall.SIGCONT)
+			_ = i.cmd.Process.Kill() // it may have ended
+			<-i.ended
+		}
+		i.proxy.l.Close()
+	}
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.Store.Close()
+	c.http.Close()
+	for _, s := range c.Servers() {
+		s.stop()
+	}
+	for _, k := range c.callers {
+		k.conn.Close()
+	}
+}
+
+// Dest returns the address that callers of a service use.
+func (c *City) Dest(service string) netip.AddrPort {
+	addr := netip.AddrFrom4([4]byte{198, 18, 0, 1})
+	if service == Feed {
+		return netip.AddrPortFrom(addr, 8443)
+	}
+	return netip.AddrPortFrom(addr, 8080)
+}
+
+// ExtraDest returns an address of a further route to the feed service.
+func (c *City) ExtraDest(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(n)}), 80)
+}
+
+// Configure writes a new configuration with routes for the given addresses;
+// extra ones lead to the feed service.
+func (c *City) Configure(dests ...netip.AddrPort) error {
+	c.mu.Lock()
+	c.version += 3
+	now := time.Now()
+	kept := make(map[netip.AddrPort]bool)
+	var routes []map[string]any
+	for n, d := range dests {
+		service := Feed
+		if d == c.Dest(Upload) {
+			service = Upload
+		}
+		kept[d] = true
+		c.routes[d] = &routeHistory{service: service}
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("r", n), "host": d.Addr().String(), "prefix": fmt.Sprint("/", d.Port(), "/"),
+			"type": "safe", "timeout_ms": 1200, "target_latency_ms": 150, "priority": 1, "service": service, "max_attempts": 2,
+		})
+	}
+	for d, h := range c.routes {
+		if !kept[d] && h.removed.IsZero() {
+			h.removed = now
+		}
+	}
+	version := c.version
+	c.mu.Unlock()
+	return c.Store.Put("op/config", map[string]any{
+		"version": version, "routes": routes, "services": []any{}, "limits": map[string]int{"idle_timeout_ms": 15000},
+	})
+}
+
+// AddServer starts a server, at the address of one that ended if there is any.
+func (c *City) AddServer(service, domain string) (*Server, error) {
+	c.mu.Lock()
+	c.nextServer++
+	n := c.nextServer
+	addr := netip.AddrPortFrom(c.ip(byte(30+n/250), byte(1+n%250)), 8400)
+	if len(c.freeAddrs) > 0 {
+		addr, c.freeAddrs = c.freeAddrs[0], c.freeAddrs[1:]
+	}
+	c.mu.Unlock()
+	s, err := c.startServer(uint64(n)<<20|uint64(c.cfg.Net), service, domain, addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = append(c.servers, s)
+	return s, nil
+}
+
+// Servers returns the servers that live.
+func (c *City) Servers() []*Server {
+	c.mu.Lock()
+	list := append([]*Server(nil), c.servers...)
+	c.mu.Unlock()
+	var live []*Server
+	for _, s := range list {
+		s.mu.Lock()
+		if !s.dead {
+			live = append(live, s)
+		}
+		s.mu.Unlock()
+	}
+	return live
+}
+
+// ReuseAddr lets the next server have the address of one that ended.
+func (c *City) ReuseAddr(s *Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.freeAddrs = append(c.freeAddrs, s.Addr)
+}
+
+// StoreTrouble notes that the store is not in good state for a while.
+func (c *City) StoreTrouble(lasts time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeSick = time.Now().Add(lasts)
+}
--- /dev/null
+++ b/testkit/edge/instance.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Ports of an instance; instances differ by their addresses.
+const (
+	healthPort   = 8167
+	metricsPort  = 7735
+	internalPort = 7720
+	lastPort     = 7735
+)
+
+// Instance is one instance of the system, a process of its own.
+type Instance struct {
+	Domain string
+
+	city   *City
+	number int
+	addr   netip.Addr
+	proxy  *proxy
+	cmd    *exec.Cmd
+	ended  chan struct{} // closed when the process has ended
+
+	inRotation bool
+	misses     int
+	troubled   time.Time // end of the last trouble with it
+}
+
+// Name is the instance's name in its settings and logs.
+func (i *Instance) Name() string { return fmt.Sprint("front-", i.Domain, "-", i.number) }
+
+func (i *Instance) packets() netip.AddrPort {
+	return netip.AddrPortFrom(i.addr, i.city.cfg.PacketPort)
+}
+func (i *Instance) health() netip.AddrPort { return netip.AddrPortFrom(i.addr, healthPort) }
+
+// Rpc returns the address for calls of operators and peers.
+func (i *Instance) Rpc() netip.AddrPort { return netip.AddrPortFrom(i.addr, internalPort) }
+
+// LogFile is where the process writes its log.
+func (i *Instance) LogFile() string { return filepath.Join(i.city.cfg.Dir, i.Name()+".log") }
+
+func (i *Instance) settings() string {
+	seeds := ""
+	for n, s := range i.city.Instances[:min(3, len(i.city.Instances))] {
+		if n > 0 {
+			seeds += ", "
+		}
+		seeds += fmt.Sprintf("%q", s.addr.String()+":1")
+	}
+	return fmt.Sprintf(`{
+	"name": %q, "domain": %q, "packets": %q, "health": %q,
+	"internal_ports": [%d, %d], "metrics_port": %d, "seeds": [%s], "store": %q,
+	"apply_within": "%s", "stop_grace": "6s",
+}`, i.Name(), i.Domain, i.packets(), i.health(), internalPort, lastPort, metricsPort, seeds,
+		i.proxy.l.Addr(), i.city.cfg.ApplyBound)
+}
+
+// Start starts the process.
+func (i *Instance) Start() error {
+	path := filepath.Join(i.city.cfg.Dir, i.Name()+".json")
+	if err := os.WriteFile(path, []byte(i.settings()), 0o600); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	out, err := os.OpenFile(i.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer out.Close()
+	i.cmd = exec.Command(i.city.cfg.Program, "--settings", path)
+	i.cmd.Stdout, i.cmd.Stderr = out, out
+	if err := i.cmd.Start(); err != nil {
+		return trace.Wrap(err, "start of %s", i.Name())
+	}
+	i.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		// The exit code of a killed process says nothing.
+		_ = cmd.Wait()
+		close(ended)
+	}(i.cmd, i.ended)
+	i.trouble(0)
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (i *Instance) Signal(s syscall.Signal) error {
+	i.trouble(0)
+	return i.cmd.Process.Signal(s)
+}
+
+// Stop sends a signal and waits for the end, which SIGKILL enforces after the
+// grace.
+func (i *Instance) Stop(s syscall.Signal) error {
+	if err := i.Signal(s); err != nil {
+		return trace.Wrap(err, "stop of %s", i.Name())
+	}
+	select {
+	case <-i.ended:
+	case <-time.After(6 * time.Second):
+		i.city.violation("%s did not stop within its grace", i.Name())
+		if err := i.cmd.Process.Kill(); err != nil {
+			return trace.Wrap(err, "kill of %s", i.Name())
+		}
+		<-i.ended
+	}
+	i.trouble(0)
+	return nil
+}
+
+// Proxy sets what becomes of its connections to the store.
+func (i *Instance) Proxy(m ProxyMode) {
+	i.trouble(0)
+	i.proxy.set(m)
+}
+
+// trouble notes that the instance is not in touch for a while.
+func (i *Instance) trouble(lasts time.Duration) {
+	i.city.mu.Lock()
+	defer i.city.mu.Unlock()
+	i.troubled = time.Now().Add(lasts)
+}
--- /dev/null
+++ b/testkit/edge/load.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Times of the load.
+const (
+	lookupBudget = 1200 * time.Millisecond
+	uploadBudget = 5 * time.Second
+	lookupPause  = 120 * time.Millisecond // mean, between the lookups of a flow
+	freshPause   = 150 * time.Millisecond // mean, between flows for one request
+	uploadSize   = 20_000                 // bytes
+	requestSize  = 300                    // bytes
+	retries      = 2                      // of a request that may be repeated
+)
+
+// sample is the outcome of one request.
+type sample struct {
+	at time.Duration // since the start of the city, when it was sent
+	ok bool
+}
+
+// Counts are the requests of a run.
+type Counts struct {
+	Asked  int `json:"asked"`
+	Served int `json:"served"`
+	Failed int `json:"failed"`
+}
+
+var lastID atomic.Uint64
+
+// Load lets all callers work until ctx is done, and returns what became of
+// their requests.
+func (c *City) Load(ctx context.Context) Counts {
+	var wg sync.WaitGroup
+	for _, k := range c.callers {
+		for range 2 {
+			wg.Go(func() { k.lookups(ctx) })
+			wg.Go(func() { k.fresh(ctx, Feed, requestSize, lookupBudget) })
+		}
+		wg.Go(func() { k.fresh(ctx, Upload, uploadSize, uploadBudget) })
+	}
+	wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var n Counts
+	for _, s := range c.served {
+		n.Asked++
+		if s.ok {
+			n.Served++
+		} else {
+			n.Failed++
+		}
+	}
+	return n
+}
+
+func (c *City) note(began time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served = append(c.served, sample{began.Sub(c.started), err == nil})
+}
+
+func pause(mean time.Duration) { time.Sleep(mean/2 + rand.N(mean+1)) }
+
+// lookups keeps a flow open for many requests that may be repeated.
+func (k *Caller) lookups(ctx context.Context) {
+	var f *flow
+	for ctx.Err() == nil {
+		began := time.Now()
+		deadline := began.Add(lookupBudget)
+		var err error
+		for try := 0; try <= retries && time.Now().Before(deadline); try++ {
+			if f == nil {
+				if f, err = k.open(k.city.Dest(Feed)); err != nil {
+					continue
+				}
+			}
+			if err = f.do(lastID.Add(1), requestSize, deadline); err == nil {
+				break
+			}
+			f.close()
+			f = nil
+		}
+		k.city.note(began, err)
+		pause(lookupPause)
+	}
+	if f != nil {
+		f.end()
+	}
+}
+
+// fresh opens a flow for each request. A request is repeated only if its flow
+// never opened.
+func (k *Caller) fresh(ctx context.Context, service string, size int, budget time.Duration) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		var err error
+		for try := 0; try <= retries && time.Since(began) < budget; try++ {
+			var f *flow
+			if f, err = k.open(k.city.Dest(service)); err != nil {
+				continue
+			}
+			if err = f.do(lastID.Add(1), size, began.Add(budget)); err == nil {
+				f.end()
+			} else {
+				f.close()
+			}
+			break
+		}
+		k.city.note(began, err)
+		pause(freshPause)
+	}
+}
--- /dev/null
+++ b/testkit/edge/soak_test.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// Length of one run, and how many of the requests have to be served in it:
+// faults that take everything down cost a part.
+const (
+	soakLength = 20 * time.Second
+	soakShare  = 0.5
+)
+
+// program returns the instance's program, and skips the test where none is
+// built.
+func program(t *testing.T) string {
+	bin := os.Getenv("BIN")
+	if bin == "" || os.Getenv("SCENARIOS") == "" {
+		t.Skip("needs SCENARIOS=1 and BIN, as make scenarios and make soak set them")
+	}
+	return filepath.Join(bin, "egrettack-edge")
+}
+
+func number(t *testing.T, name string, otherwise uint64) uint64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// Guards against promises broken under faults that nobody thought of: each run
+// draws faults from its seed.
+func TestSoak(t *testing.T) {
+	bin := program(t)
+	first, runs := number(t, "SEED", 1), number(t, "RUNS", 1)
+	for n := range runs {
+		seed := first + n
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			soakOnce(t, bin, seed, byte(100+n%100))
+		})
+	}
+}
+
+func soakOnce(t *testing.T, bin string, seed uint64, net byte) {
+	cfg := DefaultConfig()
+	cfg.Program, cfg.Dir, cfg.Net = bin, t.TempDir(), net
+	r, err := Soak(cfg, seed, soakLength)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: %+v, %d calls to the store, %d faults", seed, r.Counts, r.Calls, len(r.Faults))
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if float64(r.Counts.Served) < soakShare*float64(r.Counts.Asked) {
+		t.Errorf("seed %d: %d of %d requests were served", seed, r.Counts.Served, r.Counts.Asked)
+	}
+	keep := os.Getenv("SOAK_DIR")
+	if keep == "" {
+		return
+	}
+	if err := os.MkdirAll(keep, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Write(keep); err != nil {
+		t.Fatal(err)
+	}
+	if t.Failed() {
+		if err := os.CopyFS(filepath.Join(keep, strconv.FormatUint(seed, 10)), os.DirFS(cfg.Dir)); err != nil {
+			t.Logf("logs not kept: %v", err)
+		}
+	}
+}
