Let egrettackctl ask token instances, and add latency histograms and tests

egrettackctl edge-status, edge-hosts and edge-flow call an instance over its peer port. Histograms of requests, decisions and store reads join the counters. The tests of node/edge run instances on loopback against a store in the process: packets before the first list, decisions in the log, learning from peers, one reader, stop, reload, metrics.

--- a/cmd/egrettackctl/app.go
+++ b/cmd/egrettackctl/app.go
@@ -95,6 +95,9 @@
 		{"status", "print the state of instances", &status{}},
 		{"hosts", "print the backend servers and their load as their owners know it", &hosts{}},
 		{"flow", "tell where a flow goes and why", &flowCommand{}},
+		{"edge-status", "print the state of instances with affinity by token", &edgeStatus{}},
+		{"edge-hosts", "print the backend servers as an instance with affinity by token knows them", &edgeHosts{}},
+		{"edge-flow", "tell which backend server holds the flows with a token", &edgeFlow{}},
 		{"drain-status", "print what is still open on leaving hosts and instances", &drain{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.text, c.text+". "+exitCodes, c.data); err != nil {
--- /dev/null
+++ b/cmd/egrettackctl/edge.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"egrettack.example/core/token"
+	"egrettack.example/node/edge"
+)
+
+// errNoServer says that an instance knows no server of a token.
+var errNoServer = errors.New("no server is known")
+
+// edgeStatus prints the state of instances with affinity by token.
+type edgeStatus struct{ stub }
+
+func (*edgeStatus) run(a *app) error {
+	t := &table{head: "instance domain state version revision age_ms source routes servers flows members"}
+	var list []edge.Status
+	err := a.eachEdge(func(ctx context.Context, addr netip.AddrPort) error {
+		s, err := edge.AskStatus(ctx, addr)
+		if err != nil {
+			return err
+		}
+		state := "ready"
+		if s.NotReady != "" {
+			state = s.NotReady
+		}
+		list = append(list, s)
+		t.add(s.Name, s.Domain, state, s.Version, s.Revision, s.AgeMS, s.Source, s.Routes, s.Servers, s.Flows, len(s.Members))
+		return nil
+	})
+	return a.printAfter(err, list, t)
+}
+
+// edgeHosts prints the backend servers of an instance.
+type edgeHosts struct{ stub }
+
+func (*edgeHosts) run(a *app) error { return a.printServers(edge.AskServers) }
+
+// edgeFlow prints the backend server that a token names.
+type edgeFlow struct {
+	stub
+	Token uint32 `long:"token" required:"true" description:"token of the flow's packets, as the log has it"`
+}
+
+func (c *edgeFlow) run(a *app) error {
+	return a.printServers(func(ctx context.Context, addr netip.AddrPort) ([]edge.ServerStatus, error) {
+		list, err := edge.AskToken(ctx, addr, token.Token(c.Token))
+		if err == nil && len(list) == 0 {
+			err = fmt.Errorf("%w: token %d at %s", errNoServer, c.Token, addr)
+		}
+		return list, err
+	})
+}
+
+func (a *app) printServers(ask func(context.Context, netip.AddrPort) ([]edge.ServerStatus, error)) error {
+	t := &table{head: "host service domain address state silent open busy token revision"}
+	var all []edge.ServerStatus
+	err := a.eachEdge(func(ctx context.Context, addr netip.AddrPort) error {
+		list, err := ask(ctx, addr)
+		for _, s := range list {
+			t.add(s.Name, s.Service, s.Domain, s.Addr, s.State, s.Silent, s.Open, s.Busy, s.Token, s.Revision)
+		}
+		all = append(all, list...)
+		return err
+	})
+	return a.printAfter(err, all, t)
+}
+
+// printAfter prints what was found, also when a call failed.
+func (a *app) printAfter(err error, v any, t *table) error {
+	if len(t.rows) > 0 {
+		if perr := a.print(v, t); perr != nil {
+			return perr
+		}
+	}
+	return err
+}
+
+// eachEdge calls f for each instance that the options name, and returns the
+// last failure.
+func (a *app) eachEdge(f func(ctx context.Context, addr netip.AddrPort) error) error {
+	if len(a.Instance) == 0 {
+		return fmt.Errorf("%w: --instance is needed", errUsage)
+	}
+	var failed error
+	for _, text := range a.Instance {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return fmt.Errorf("%w: %q is not an address with a port", errUsage, text)
+		}
+		ctx, cancel := context.WithTimeout(a.ctx, a.Timeout)
+		err = f(ctx, addr)
+		cancel()
+		switch {
+		case errors.Is(err, errNoServer):
+			failed = err
+		case err != nil:
+			failed = fmt.Errorf("%w: %s", errUnreachable, oneLine(err))
+		}
+	}
+	return failed
+}
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -33,7 +33,6 @@
 	open, busy int
 	waiting    time.Duration // of the first opening packet since the last sign of life, 0 for none
 	trial      time.Duration // of the last opening packet
-	mean       float64       // mean time of requests, seconds
 }
 
 func (e *Engine) load(s *catalog.Server) *load {
@@ -45,6 +44,18 @@
 	return l
 }
 
+// Work is what an instance knows of the work at a server.
+type Work struct {
+	Open, Busy int  // flows and requests that this instance has seen
+	Silent     bool // it gets no new flows but for trials
+}
+
+// Work returns what is known of the work at a server.
+func (e *Engine) Work(now time.Duration, s *catalog.Server) Work {
+	l := e.load(s)
+	return Work{Open: l.open, Busy: l.busy, Silent: l.silent(now)}
+}
+
 // candidate is a server that may get new flows.
 type candidate struct {
 	server *catalog.Server
@@ -86,12 +97,7 @@
 	l.trial = now
 }
 
-func (l *load) alive(time.Duration) { l.waiting = 0 }
-
-func (l *load) answered(d time.Duration) {
-	const remember = 0.05 // weight of one request in the mean
-	l.mean += remember * (d.Seconds() - l.mean)
-}
+func (l *load) alive() { l.waiting = 0 }
 
 // silent reports whether the server is avoided.
 func (l *load) silent(now time.Duration) bool {
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -109,8 +109,7 @@
 		}
 		return Verdict{Action: Reset, Reason: ServerGone, Server: s}
 	}
-	e.observe(now, key, f, s, p)
-	return Verdict{Action: Forward, Reason: Token, Server: s}
+	return Verdict{Action: Forward, Reason: Token, Server: s, Answered: e.observe(now, key, f, s, p)}
 }
 
 // Expired decides on a packet that was held for as long as it may be. heldAt
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -24,16 +24,15 @@
 // entry is what an instance notes of a flow. It only serves the account of
 // load; delivery does not depend on it.
 type entry struct {
-	server  *catalog.Server
-	tried   []*catalog.Server // servers that got an opening packet
-	seq     uint32            // of the opening packet
-	next    uint32            // end of the data seen
-	ack     uint32            // highest acknowledgement seen
-	acked   bool              // a packet after the handshake was seen
-	busy    bool              // counted as a request in progress
-	began   time.Duration     // of the request in progress
-	last    time.Duration     // of the last packet
-	retried bool              // data of the request were sent again
+	server *catalog.Server
+	tried  []*catalog.Server // servers that got an opening packet
+	seq    uint32            // of the opening packet
+	next   uint32            // end of the data seen
+	ack    uint32            // highest acknowledgement seen
+	acked  bool              // a packet after the handshake was seen
+	busy   bool              // counted as a request in progress
+	began  time.Duration     // of the request in progress
+	last   time.Duration     // of the last packet
 }
 
 // assign moves the account of a flow to a server and counts a request.
@@ -51,7 +50,7 @@
 		f.busy = true
 		e.load(f.server).busy++
 	}
-	f.began, f.retried = now, false
+	f.began = now
 }
 
 func (e *Engine) end(f *entry) {
@@ -81,15 +80,16 @@
 	}
 }
 
-// observe notes what a packet of an open flow shows.
-func (e *Engine) observe(now time.Duration, key Key, f *entry, s *catalog.Server, p *Packet) {
+// observe notes what a packet of an open flow shows. It returns the time of
+// the request whose answer the packet confirms.
+func (e *Engine) observe(now time.Duration, key Key, f *entry, s *catalog.Server, p *Packet) (answered time.Duration) {
 	if p.RST {
 		e.forget(key)
-		return
+		return 0
 	}
 	if f == nil {
 		if p.FIN {
-			return
+			return 0
 		}
 		f = &entry{next: p.Seq, ack: p.Ack, acked: true, server: s, last: now}
 		e.flows[key] = f
@@ -103,9 +103,9 @@
 	f.last = now
 	// Positions of a flow wrap round.
 	if progress := int32(p.Ack-f.ack) > 0; !f.acked || progress {
-		e.load(s).alive(now)
+		e.load(s).alive()
 		if f.acked && f.busy && progress {
-			e.load(s).answered(now - f.began)
+			answered = now - f.began
 			e.end(f)
 		}
 		f.ack, f.acked = p.Ack, true
@@ -114,13 +114,12 @@
 		if int32(end-f.next) > 0 {
 			f.next = end
 			e.begin(now, f)
-		} else if f.busy {
-			f.retried = true
 		}
 	}
 	if p.FIN {
 		e.drop(key, f)
 	}
+	return answered
 }
 
 // Tick forgets flows that are idle and requests whose end was not seen.
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"egrettack.example/core/catalog"
 	"egrettack.example/core/token"
@@ -71,4 +72,7 @@
 	Server *catalog.Server // of Forward
 	// Load is the server's load at the decision on a new flow, in requests.
 	Load float64
+	// Answered is the time of the request whose answer the packet confirms, 0
+	// if it confirms none.
+	Answered time.Duration
 }
--- a/node/edge/answer.go
+++ b/node/edge/answer.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"egrettack.example/core/catalog"
 	wire "egrettack.example/wire/fleet"
 )
 
@@ -18,6 +19,16 @@
 			return nil, err
 		}
 		return i.since(p)
+	case methodStatus:
+		return i.status(), nil
+	case methodServers:
+		return i.servers(func(*catalog.Server) bool { return true }), nil
+	case methodToken:
+		p, err := params[tokenParams](r)
+		if err != nil {
+			return nil, err
+		}
+		return i.servers(func(s *catalog.Server) bool { return s.Token == p.Token }), nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -43,7 +43,11 @@
 	for {
 		due := max(next, i.readDue())
 		if i.clock.now() >= due {
+			began := i.clock.now()
 			err := i.read(ctx)
+			if err == nil {
+				i.metrics.reads.Observe((i.clock.now() - began).Seconds())
+			}
 			pause := readLeast
 			if err != nil && ctx.Err() == nil {
 				i.store.Reconnect()
--- /dev/null
+++ b/node/edge/instance_test.go
@@ -0,0 +1,365 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/core/steer"
+	"egrettack.example/settings/document"
+	"egrettack.example/settings/edge"
+)
+
+// fakePackets is a format of packets in text: "SYN", or the token in decimal,
+// and after a space the id of a request.
+type fakePackets struct{ dest netip.AddrPort }
+
+func (f fakePackets) Decode(b []byte, p *steer.Packet) error {
+	*p = steer.Packet{Caller: netip.MustParseAddrPort("127.0.0.1:9"), Dest: f.dest, ACK: true, Seq: 1, Ack: 1, Len: len(b)}
+	if bytes.HasPrefix(b, []byte("SYN")) {
+		p.SYN, p.ACK, p.Len = true, false, 0
+		return nil
+	}
+	_, err := fmt.Sscan(string(b), &p.Token)
+	return err
+}
+
+func (fakePackets) Forward(dst, packet []byte, s *catalog.Server) []byte {
+	return append(append(dst, s.Name+" "...), packet...)
+}
+
+func (fakePackets) Reset(dst []byte, p *steer.Packet) ([]byte, netip.AddrPort) {
+	return append(dst, "RST"...), p.Caller
+}
+
+func (fakePackets) RequestID(b []byte) []byte {
+	_, id, _ := bytes.Cut(b, []byte(" "))
+	return id
+}
+
+// fakeStore holds one change that all reads return.
+type fakeStore struct {
+	mu    sync.Mutex
+	state *catalog.Change
+	err   error
+	calls int
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *fakeStore) get() (*catalog.Change, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.err != nil {
+		return nil, s.err
+	}
+	c := *s.state
+	c.Servers = append([]catalog.Server(nil), c.Servers...)
+	return &c, nil
+}
+
+func (s *fakeStore) set(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) change(f func(*catalog.Change)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.state)
+	s.state.Revision++
+}
+
+func (s *fakeStore) Revision(context.Context) (catalog.Revision, error) {
+	c, err := s.get()
+	if err != nil {
+		return 0, err
+	}
+	return c.Revision, nil
+}
+
+func (s *fakeStore) All(context.Context) (*catalog.Change, error) { return s.get() }
+
+func (s *fakeStore) Since(context.Context, catalog.Revision) (*catalog.Change, error) {
+	return nil, errors.New("no history")
+}
+func (*fakeStore) Reconnect() {}
+
+// buffer is a log that tests read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+type lab struct {
+	*WithT
+	t     *testing.T
+	net   byte
+	dest  netip.AddrPort
+	store *fakeStore
+	host  *net.UDPConn
+}
+
+var labs byte = 200
+
+func newLab(t *testing.T) *lab {
+	labs++
+	l := &lab{WithT: NewWithT(t), t: t, net: labs, dest: netip.MustParseAddrPort("198.18.0.1:443")}
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: l.ip(99).AsSlice()})
+	l.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	l.host = conn
+	l.store = &fakeStore{state: &catalog.Change{
+		Revision: 5, Whole: true,
+		Config: &catalog.Config{Version: 3, Routes: []catalog.Route{
+			{Dest: l.dest, Targets: []catalog.Target{{Service: "feed", Weight: 1}}},
+		}},
+		Servers: []catalog.Server{{
+			ID: 1, Name: "host-1", Started: 1, Service: "feed", Domain: "a", Slots: 2, Revision: 4,
+			Addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		}},
+	}}
+	return l
+}
+
+func (l *lab) ip(n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 70, l.net, n}) }
+
+func (l *lab) settings(n byte) *edge.Settings {
+	return &edge.Settings{
+		Name: fmt.Sprint("front-", n), Domain: "a",
+		Packets: netip.AddrPortFrom(l.ip(n), 8172), Health: netip.AddrPortFrom(l.ip(n), 8167),
+		InternalPorts: []int{7720, 7735}, Seeds: []netip.AddrPort{netip.AddrPortFrom(l.ip(1), 1)},
+		MetricsPort: 7735, LogLevel: "info",
+		StopGrace: document.Duration{Duration: 2 * time.Second}, ApplyWithin: document.Duration{Duration: 3 * time.Second},
+	}
+}
+
+type running struct {
+	*Instance
+	log  *buffer
+	stop context.CancelFunc
+	done chan error
+}
+
+func (l *lab) start(n byte, store Store) *running {
+	log, level := &buffer{}, new(slog.LevelVar)
+	i, err := New(Options{
+		Settings: l.settings(n), Packets: fakePackets{l.dest}, Store: func(func(string, error)) Store { return store },
+		Log: slog.New(slog.NewTextHandler(log, nil)), Level: level, LogLost: func() uint64 { return 0 },
+	})
+	l.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{i, log, cancel, make(chan error, 1)}
+	go func() { r.done <- i.Run(ctx) }()
+	l.t.Cleanup(func() {
+		cancel()
+		<-r.done
+	})
+	return r
+}
+
+// send sends a packet to an instance.
+func (l *lab) send(n byte, text string) {
+	c, err := net.Dial("udp4", netip.AddrPortFrom(l.ip(n), 8172).String())
+	l.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = c.Write([]byte(text))
+	l.Expect(err).NotTo(HaveOccurred())
+}
+
+// received returns the next packet at the backend server, empty after a while.
+func (l *lab) received(within time.Duration) string {
+	b := make([]byte, 100)
+	l.Expect(l.host.SetReadDeadline(time.Now().Add(within))).To(Succeed())
+	n, _, err := l.host.ReadFrom(b)
+	if err != nil {
+		return ""
+	}
+	return string(b[:n])
+}
+
+func (l *lab) ready(n byte) int {
+	resp, err := http.Get(fmt.Sprintf("http://%s/any", netip.AddrPortFrom(l.ip(n), 8167)))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against packets lost at a start: those that come before the first
+// list reach their server as soon as it is there.
+func TestPacketsBeforeTheFirstList(t *testing.T) {
+	l := newLab(t)
+	l.store.set(errAway)
+	i := l.start(1, l.store)
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusServiceUnavailable))
+	l.send(1, "SYN")
+	l.Expect(l.received(100 * time.Millisecond)).To(BeEmpty())
+	l.store.set(nil)
+	l.Expect(l.received(2 * time.Second)).To(Equal("host-1 SYN"))
+	l.Expect(l.ready(1)).To(Equal(http.StatusOK))
+	l.Expect(i.log.String()).To(ContainSubstring("waited="))
+}
+
+// Guards against a failed request whose log does not say what was decided, on
+// which knowledge, and for which id.
+func TestDecisionsAreLogged(t *testing.T) {
+	l := newLab(t)
+	i := l.start(1, l.store)
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
+	l.send(1, "SYN")
+	l.Expect(l.received(time.Second)).To(Equal("host-1 SYN"))
+	s := i.servers(func(*catalog.Server) bool { return true })[0]
+	l.send(1, fmt.Sprintf("%d ab12", s.Token))
+	l.Expect(l.received(time.Second)).NotTo(BeEmpty())
+	l.Eventually(i.log.String).Should(And(
+		ContainSubstring("msg=start"),
+		ContainSubstring("action=forward reason=placed server=host-1"),
+		MatchRegexp(`msg=packet request=ab12 caller=\S+ dest=\S+ action=forward reason=token server=host-1 .*version=3 revision=5 age=`),
+	))
+}
+
+// Guards against an instance that cannot reach the store knowing nothing while
+// a peer knows all, and against a store read by every instance.
+func TestLearnsFromPeers(t *testing.T) {
+	l := newLab(t)
+	l.start(1, l.store)
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
+	cut := &fakeStore{err: errAway}
+	b := l.start(2, cut)
+	l.Eventually(func() int { return l.ready(2) }, "5s").Should(Equal(http.StatusOK))
+	l.store.change(func(c *catalog.Change) {
+		next := *c.Config
+		next.Version++
+		c.Config = &next
+	})
+	l.Eventually(func() catalog.Version { return b.status().Version }, "3s").Should(Equal(catalog.Version(4)))
+}
+
+// Guards against calls that grow with the number of instances.
+func TestFollowersDoNotReadTheStore(t *testing.T) {
+	l := newLab(t)
+	stores := []*fakeStore{}
+	for n := range byte(4) {
+		s := &fakeStore{state: l.store.state}
+		stores = append(stores, s)
+		l.start(n+1, s)
+	}
+	time.Sleep(3 * time.Second) // the instances meet
+	before := make([]int, len(stores))
+	for n, s := range stores {
+		before[n] = s.count()
+	}
+	time.Sleep(3 * time.Second)
+	readers := 0
+	for n, s := range stores {
+		if s.count() > before[n]+1 {
+			readers++
+		}
+	}
+	l.Expect(readers).To(Equal(1))
+}
+
+// Guards against an instance that ends while routers still send it packets, or
+// that tells them too late.
+func TestStop(t *testing.T) {
+	l := newLab(t)
+	i := l.start(1, l.store)
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
+	i.stop()
+	l.Eventually(func() int { return l.ready(1) }, "500ms").Should(Equal(http.StatusServiceUnavailable))
+	l.send(1, "SYN")
+	l.Expect(l.received(time.Second)).To(Equal("host-1 SYN"))
+	select {
+	case err := <-i.done:
+		l.Expect(err).NotTo(HaveOccurred())
+		i.done <- nil // for the cleanup
+	case <-time.After(3 * time.Second):
+		t.Fatal("the instance did not end within its grace")
+	}
+	l.Expect(i.log.String()).To(And(ContainSubstring("msg=stopping"), ContainSubstring("msg=stop ")))
+}
+
+// Guards against wrong settings that replace good ones, and against a change
+// that is noticed only with a signal.
+func TestReload(t *testing.T) {
+	l := newLab(t)
+	i := l.start(1, l.store)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(apply string) {
+		text := fmt.Sprintf(`{"name": "front-1", "domain": "a", "packets": %q, "health": %q, "internal_ports": [7720, 7735],
+			"metrics_port": 7735, "store": "127.0.0.1:1", "apply_within": %q}`, i.set.Packets, i.set.Health, apply)
+		l.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	}
+	write("3s")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal)
+	go i.WatchSettings(ctx, path, signals)
+	applyWithin := func() time.Duration {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return i.set.ApplyWithin.Duration
+	}
+	write("wrong")
+	signals <- os.Interrupt
+	l.Eventually(i.log.String).Should(ContainSubstring("settings not reloaded"))
+	l.Expect(applyWithin()).To(Equal(3 * time.Second))
+	write("5s")
+	l.Eventually(applyWithin, 2*settingsEvery).Should(Equal(5 * time.Second))
+}
+
+// Guards against metrics that are not served, or that leave decisions out.
+func TestMetrics(t *testing.T) {
+	l := newLab(t)
+	l.start(1, l.store)
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
+	l.send(1, "SYN")
+	l.Expect(l.received(time.Second)).NotTo(BeEmpty())
+	resp, err := http.Get(fmt.Sprintf("http://%s/metrics", netip.AddrPortFrom(l.ip(1), 7735)))
+	l.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	l.Expect(err).NotTo(HaveOccurred())
+	l.Expect(string(text)).To(And(
+		ContainSubstring(`egrettack_packets_total{action="forward",reason="placed"} 1`),
+		ContainSubstring("egrettack_config_version 3"),
+		ContainSubstring("egrettack_request_seconds"),
+		ContainSubstring("egrettack_decision_seconds"),
+	))
+}
--- a/node/edge/metrics.go
+++ b/node/edge/metrics.go
@@ -14,6 +14,9 @@
 	packets    *prometheus.CounterVec // action, reason
 	calls      *prometheus.CounterVec // kind, result
 	peerBytes  *prometheus.CounterVec // direction
+	requests   prometheus.Histogram
+	decisions  prometheus.Histogram
+	reads      prometheus.Histogram
 	malformed  prometheus.Counter
 	sendErrors prometheus.Counter
 	holdFull   prometheus.Counter
@@ -37,6 +40,18 @@
 	m.packets = vector("packets_total", "Packets by what was done with them and why.", "action", "reason")
 	m.calls = vector("store_calls_total", "Calls to the settings store.", "kind", "result")
 	m.peerBytes = vector("peer_bytes_total", "Bytes of datagrams between instances.", "direction")
+	histogram := func(name, help string, buckets []float64) prometheus.Histogram {
+		h := prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets})
+		m.registry.MustRegister(h)
+		return h
+	}
+	m.requests = histogram("request_seconds",
+		"Time from the data of a request to the first acknowledgement of its answer, as callers' packets show it.",
+		[]float64{.005, .01, .02, .05, .1, .15, .2, .5, 1, 2})
+	m.decisions = histogram("decision_seconds", "Time to decide on a new flow and to send its packet.",
+		[]float64{1e-6, 5e-6, 2e-5, 1e-4, 5e-4, 2e-3, 1e-2})
+	m.reads = histogram("store_read_seconds", "Time of good reads of the settings store.",
+		[]float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 3})
 	m.malformed = counter("malformed_packets_total", "Packets that could not be read.")
 	m.sendErrors = counter("send_errors_total", "Datagrams that the kernel refused.")
 	m.holdFull = counter("hold_full_total", "Packets lost because the hold buffer was full.")
--- /dev/null
+++ b/node/edge/operators.go
@@ -0,0 +1,132 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/core/fleet"
+	"egrettack.example/core/token"
+)
+
+// Calls of operators.
+const (
+	methodStatus  = "edge.status"
+	methodServers = "edge.servers"
+	methodToken   = "edge.token"
+)
+
+// Status is what an instance says of itself.
+type Status struct {
+	Name      string           `json:"name"`
+	Domain    string           `json:"domain"`
+	NotReady  string           `json:"not_ready,omitempty"` // why it should not get packets
+	Version   catalog.Version  `json:"version"`
+	Revision  catalog.Revision `json:"revision"`
+	AgeMS     int64            `json:"age_ms"` // since the catalog was known to be current
+	Routes    int              `json:"routes"`
+	Servers   int              `json:"servers"`
+	Flows     int              `json:"flows"`
+	Held      int              `json:"held_packets"`
+	Source    string           `json:"source"` // whom it learns changes from
+	StoreLost bool             `json:"store_lost"`
+	Members   []string         `json:"members"` // other instances
+}
+
+// ServerStatus is a backend server as an instance knows it.
+type ServerStatus struct {
+	Name     string         `json:"name"`
+	Service  string         `json:"service"`
+	Domain   string         `json:"domain"`
+	Addr     netip.AddrPort `json:"addr"`
+	State    string         `json:"state"` // ready, draining, missing or gone
+	Silent   bool           `json:"silent"`
+	Token    token.Token    `json:"token"`
+	Open     int            `json:"open_flows"` // seen by this instance
+	Busy     int            `json:"busy"`
+	Revision uint64         `json:"revision"`
+}
+
+type tokenParams struct {
+	Token token.Token `json:"token"`
+}
+
+// AskStatus returns what the instance at addr says of itself.
+func AskStatus(ctx context.Context, addr netip.AddrPort) (s Status, err error) {
+	err = call(ctx, addr, methodStatus, struct{}{}, &s)
+	return s, err
+}
+
+// AskServers returns the backend servers that the instance at addr knows.
+func AskServers(ctx context.Context, addr netip.AddrPort) (list []ServerStatus, err error) {
+	err = call(ctx, addr, methodServers, struct{}{}, &list)
+	return list, err
+}
+
+// AskToken returns the server that a token names, empty if the instance at
+// addr knows none.
+func AskToken(ctx context.Context, addr netip.AddrPort, t token.Token) (list []ServerStatus, err error) {
+	err = call(ctx, addr, methodToken, tokenParams{t}, &list)
+	return list, err
+}
+
+func (i *Instance) status() Status {
+	notReady := i.notReady()
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	age, _ := i.catalog.Age(now)
+	s := Status{
+		Name: i.set.Name, Domain: i.set.Domain, NotReady: notReady,
+		Version: i.catalog.Version(), Revision: i.catalog.Revision(), AgeMS: age.Milliseconds(),
+		Flows: i.engine.Flows(), Held: len(i.held.packets),
+		Source: sourceName(i.peers.fleet.Source()), StoreLost: i.state.storeLost,
+	}
+	if c := i.catalog.Config(); c != nil {
+		s.Routes = len(c.Routes)
+	}
+	i.catalog.Servers(func(x *catalog.Server) {
+		if x.Published() {
+			s.Servers++
+		}
+	})
+	i.peers.fleet.Members(func(m *fleet.Member) { s.Members = append(s.Members, m.Addr.String()) })
+	return s
+}
+
+// servers returns the servers that keep accepts, by service and name.
+func (i *Instance) servers(keep func(*catalog.Server) bool) []ServerStatus {
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	list := []ServerStatus{}
+	i.catalog.Servers(func(s *catalog.Server) {
+		if keep(s) {
+			list = append(list, i.serverStatus(now, s))
+		}
+	})
+	slices.SortFunc(list, func(a, b ServerStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+func (i *Instance) serverStatus(now time.Duration, s *catalog.Server) ServerStatus {
+	state := "ready"
+	switch {
+	case i.catalog.Gone(now, s):
+		state = "gone"
+	case !s.Published():
+		state = "missing"
+	case s.Draining:
+		state = "draining"
+	}
+	w := i.engine.Work(now, s)
+	return ServerStatus{
+		Name: s.Name, Service: s.Service, Domain: s.Domain, Addr: s.Addr, State: state, Silent: w.Silent,
+		Token: s.Token, Open: w.Open, Busy: w.Busy, Revision: uint64(s.Revision),
+	}
+}
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -65,7 +65,13 @@
 	defer i.mu.Unlock()
 	i.state.lastPacket = now
 	v := i.engine.Decide(now, &p)
+	if v.Answered > 0 {
+		i.metrics.requests.Observe(v.Answered.Seconds())
+	}
 	i.carryOut(now, 0, v, &p, data, out)
+	if p.SYN {
+		i.metrics.decisions.Observe((i.clock.now() - now).Seconds())
+	}
 }
 
 // carryOut does what was decided on a packet that waited for a while.
