--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -10,6 +10,7 @@
 
 	"egrettack.example/settings/daemon"
 	"egrettack.example/settings/document"
+	"egrettack.example/settings/edge"
 	"egrettack.example/settings/published"
 	"egrettack.example/settings/tree"
 )
@@ -18,6 +19,7 @@
 var sections = map[string]any{
 	"Daemon settings":       daemon.Settings{},
 	"Key":                   daemon.Key{},
+	"Edge settings":         edge.Settings{},
 	"Root":                  tree.Root{},
 	"Domain":                tree.Domain{},
 	"District":              tree.District{},
