Ask the named instance for a flow even when it is suspected here

Cause of the entry in KNOWN-RED.txt: the owner that looks for a flow names two instances to ask. The first one had missed two heartbeats of the second, took it for dead, left it out and reported that nobody holds the flow, so that the owner sent it to the default host, which reset it. Traced by printing the look-ups of the flow; the copies at 1.8 s only shifted the random losses. After: the asked instance passes the question to the named one whenever it is listed, since the asker takes it to be alive.

--- a/core/engine/lookup.go
+++ b/core/engine/lookup.go
@@ -259,9 +259,9 @@
 func (w *work) askNext() *snapshot.Instance {
 	var o others
 	asker := w.v.Instance(w.asker)
-	if w.known(w.next) {
-		o.add(w, w.v.Instance(w.next))
-	}
+	// The asker takes it to be alive. If this instance suspects it wrongly and
+	// left it out, the asker would be told that nobody holds the flow.
+	o.add(w, w.v.Instance(w.next))
 	c := w.candidates(w.own)
 	for _, id := range c.all() {
 		if to := w.target(id); to != asker {
--- a/core/engine/state_test.go
+++ b/core/engine/state_test.go
@@ -329,3 +329,23 @@
 		}
 	})
 }
+
+// Guards against a flow that is reset since the instance asked for it leaves
+// out the one that holds it: it suspected that one wrongly, after two lost
+// heartbeats, and reported that nobody holds the flow.
+func TestWronglySuspectedHolderIsAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 2, startInput(2, 3, 3))
+		w.loss = losses{data: 0.001, control: 0.03, tolerable: true}
+		w.run(4 * time.Second)
+		w.play([]step{
+			{"join", 1, 6}, {"undrain", 20, 2}, {"leave", 0, 129}, {"drain", 4, 1503}, {"add host", 40, 1266},
+		})
+		w.calm()
+		for _, c := range w.all {
+			if c.state == broken && c.served {
+				t.Fatalf("flow %v to service %d, opened at %v, broke at about %v", c.key, c.service, c.opened, c.last)
+			}
+		}
+	})
+}
