Start from stale pages and tell changes in parts

An instance that knows nothing now reads the first page and takes the others stale, from a random one on, places flows while they come, and then reads what changed since. Changes go to followers in up to eight datagrams of eight servers.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -113,6 +113,26 @@
 	}
 }
 
+// Add takes some of the servers before the first whole list, so that new flows
+// need not wait for it. It does nothing afterwards.
+func (c *Catalog) Add(now time.Duration, ch *Change) Applied {
+	var a Applied
+	if c.loaded {
+		return a
+	}
+	if ch.Config != nil && ch.Config.Version > c.Version() {
+		c.setConfig(ch.Config)
+		a.Config = true
+	}
+	for i := range ch.Servers {
+		c.put(now, ch.Servers[i], &a)
+	}
+	if len(a.Added)+len(a.Changed) > 0 {
+		c.index()
+	}
+	return a
+}
+
 // Confirm notes that a linearizable read that began at the given time found
 // the store at revision rev. It reports whether the catalog is current.
 func (c *Catalog) Confirm(at time.Duration, rev Revision) bool {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -168,6 +168,54 @@
 	return c
 }
 
+// Guards against parts of a first list that count as all of it, or that are
+// taken after it.
+func TestAddBeforeTheFirstList(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	a := c.Add(second, &Change{Revision: 30, Config: config(2, "1.1.1.1:80"), Servers: []Server{server(1, 3)}})
+	g.Expect(a.Config).To(BeTrue())
+	g.Expect(a.Added).To(HaveLen(1))
+	g.Expect(c.Complete()).To(BeFalse())
+	g.Expect(c.Revision()).To(BeZero())
+	g.Expect(c.Service("feed")).To(HaveLen(1))
+	c.Apply(second, 1, 1, list(20, nil, server(2, 4)))
+	g.Expect(c.Service("feed")).To(HaveLen(1), "the first one was not in the whole list")
+	g.Expect(c.Add(second, &Change{Servers: []Server{server(5, 9)}}).Added).To(BeEmpty())
+}
+
+// Guards against parts of a split change that leave something out, or that
+// claim to be complete before they are.
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := New(), New()
+		source.Apply(second, second, second, list(1, config(1)))
+		follower.Apply(second, second, second, source.Since(second, 0, 0))
+		rev := Revision(1)
+		for range rapid.IntRange(0, 40).Draw(t, "changes") {
+			rev++
+			id := ServerID(rapid.IntRange(1, 30).Draw(t, "server"))
+			ch := &Change{Revision: rev, Servers: []Server{server(id, rev)}}
+			if rapid.Bool().Draw(t, "remove") {
+				ch = &Change{Revision: rev, Removed: []Removal{{ID: id, Revision: rev}}}
+			}
+			source.Apply(second, second, second, ch)
+		}
+		for _, part := range source.Since(second, follower.Revision(), follower.Version()).Split(rapid.IntRange(1, 9).Draw(t, "n")) {
+			follower.Apply(second, second, second, part)
+			reached := source.Since(second, follower.Revision(), follower.Version())
+			for _, s := range reached.Servers {
+				if s.Revision <= follower.Revision() {
+					t.Fatalf("at %d the follower lacks revision %d", follower.Revision(), s.Revision)
+				}
+			}
+		}
+		if a, b := published(source), published(follower); a != b || source.Revision() != follower.Revision() {
+			t.Fatalf("source has %s, follower %s", a, b)
+		}
+	})
+}
+
 // Guards against a peer that is told a part of the changes: whatever it has,
 // what Since returns brings it to the same state.
 func TestSinceReachesTheSameState(t *testing.T) {
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -40,7 +40,7 @@
 // Decide returns what to do with a packet and notes what it shows of the load
 // and the life of servers.
 func (e *Engine) Decide(now time.Duration, p *Packet) Verdict {
-	if !e.catalog.Complete() {
+	if e.catalog.Config() == nil {
 		return Verdict{Action: Hold, Reason: NotLoaded}
 	}
 	route := e.catalog.Route(p.Dest)
@@ -68,6 +68,9 @@
 		f = nil
 	}
 	s, level := e.choose(now, route, f)
+	if s == nil && !e.catalog.Loaded() {
+		return Verdict{Action: Hold, Reason: NotLoaded}
+	}
 	if s == nil {
 		return Verdict{Action: Reset, Reason: NoServer}
 	}
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -90,7 +90,10 @@
 	loaded, known := i.catalog.Loaded(), i.catalog.Revision()
 	i.mu.Unlock()
 	if !loaded {
-		return i.readAll(ctx)
+		if current, err := i.readFirst(ctx); current || err != nil {
+			return err
+		}
+		return i.read(ctx)
 	}
 	at := i.clock.now()
 	rev, err := i.readRevision(ctx)
@@ -139,6 +142,29 @@
 	return true
 }
 
+// readFirst fills the empty catalog. It reports whether it is current then.
+// New flows are placed while the first parts are known.
+func (i *Instance) readFirst(ctx context.Context) (current bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	at := i.clock.now()
+	ch, current, err := i.store.First(ctx, func(part *catalog.Change) {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		now := i.clock.now()
+		i.logApplied(i.catalog.Add(now, part), part, sourceName(netip.Addr{}), now-at)
+		i.retryHeld(now)
+	})
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	if !current {
+		at = 1 // nothing is known of the age of the parts
+	}
+	i.apply(at, ch)
+	return current, nil
+}
+
 func (i *Instance) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -163,28 +189,33 @@
 func (i *Instance) take(now, at, good time.Duration, ch *catalog.Change, from string) {
 	was := i.catalog.Complete()
 	a := i.catalog.Apply(now, at, at-good, ch)
+	i.logApplied(a, ch, from, now-at)
+	if !was && i.catalog.Complete() {
+		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(),
+			"held", len(i.held.packets), "from", from)
+	}
+	i.retryHeld(now)
+	i.tellFollowers(now)
+}
+
+// logApplied logs what a change moved.
+func (i *Instance) logApplied(a catalog.Applied, ch *catalog.Change, from string, age time.Duration) {
 	if a.Config {
 		c := i.catalog.Config()
 		i.log.Info("configuration", "version", c.Version, "revision", c.Revision, "routes", len(c.Routes),
-			"from", from, "age", now-at)
+			"from", from, "age", age)
 	}
 	for _, s := range a.Added {
 		i.log.Info("server added", "server", s.Name, "service", s.Service, "addr", s.Addr, "domain", s.Domain,
-			"started", s.Started, "draining", s.Draining, "revision", s.Revision, "from", from, "age", now-at)
+			"started", s.Started, "draining", s.Draining, "revision", s.Revision, "from", from, "age", age)
 	}
 	for _, s := range a.Changed {
 		i.log.Info("server changed", "server", s.Name, "draining", s.Draining, "addr", s.Addr,
-			"revision", s.Revision, "from", from, "age", now-at)
+			"revision", s.Revision, "from", from, "age", age)
 	}
 	for _, s := range a.Removed {
-		i.log.Info("server removed", "server", s.Name, "revision", ch.Revision, "from", from, "age", now-at)
+		i.log.Info("server removed", "server", s.Name, "revision", ch.Revision, "from", from, "age", age)
 	}
-	if !was && i.catalog.Complete() {
-		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(),
-			"held", len(i.held.packets), "from", from)
-	}
-	i.retryHeld(now)
-	i.tellFollowers(now)
 }
 
 // storeAnswers logs when the store is lost or regained.
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -36,12 +36,17 @@
 	RequestID(packet []byte) []byte
 }
 
-// Store reads the settings store. All reads but Since are linearizable.
+// Store reads the settings store. Revision and All are
+// linearizable.
 type Store interface {
 	// Revision returns the newest revision.
 	Revision(ctx context.Context) (catalog.Revision, error)
 	// All reads the configuration and all servers.
 	All(ctx context.Context) (*catalog.Change, error)
+	// First reads the same for an instance that knows nothing, and may take
+	// parts that are seconds old: current is false then. some is called with
+	// each part as it comes.
+	First(ctx context.Context, some func(*catalog.Change)) (ch *catalog.Change, current bool, err error)
 	// Since returns what changed after a revision.
 	Since(ctx context.Context, after catalog.Revision) (*catalog.Change, error)
 	// Reconnect makes the next call use a new connection.
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -102,6 +102,11 @@
 
 func (s *fakeStore) All(context.Context) (*catalog.Change, error) { return s.get() }
 
+func (s *fakeStore) First(context.Context, func(*catalog.Change)) (*catalog.Change, bool, error) {
+	c, err := s.get()
+	return c, true, err
+}
+
 func (s *fakeStore) Since(context.Context, catalog.Revision) (*catalog.Change, error) {
 	return nil, errors.New("no history")
 }
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -94,13 +94,16 @@
 	}
 }
 
-// takeTold takes what a peer tells of the store. What does not fit a datagram
-// is pulled.
+// takeTold takes what a peer tells of the store. What does not fit datagrams,
+// or lacks a part that was lost, is pulled.
 func (i *Instance) takeTold(ctx context.Context, now time.Duration, from netip.Addr, m *wire.Message) {
 	// The message was not sent before this, however long it took.
 	sent := min(now, m.Sent+m.Hold.Duration())
 	at := sent - m.Age.Duration()
 	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && c.After <= i.catalog.Revision() {
+		if c.Change.Revision < m.Revision {
+			at = i.catalog.AsOf() // further parts are needed to be current
+		}
 		i.take(now, at, m.Good.Duration(), c.Change, from.String())
 		return
 	}
@@ -140,8 +143,8 @@
 	i.take(now, began-c.Age.Duration(), c.Good.Duration(), c.Change, from.String())
 }
 
-// tell tells a follower what it does not have. A change too large for a
-// datagram is left out, and the follower pulls it.
+// tell tells a follower what it does not have, in as many datagrams as it
+// takes. A change too large for that is left out, and the follower pulls it.
 func (i *Instance) tell(now time.Duration, to netip.Addr) {
 	if !i.catalog.Complete() {
 		return
@@ -153,13 +156,7 @@
 		Age: wire.ToMillis(age), Good: wire.ToMillisDown(good),
 		Sent: f.sent, Hold: wire.ToMillisDown(now - f.at),
 	}
-	if f.has != have && f.has.revision > 0 {
-		ch := i.catalog.Since(now, f.has.revision, f.has.version)
-		if !ch.Whole {
-			m.Change = &wire.Change{After: f.has.revision, Age: m.Age, Good: m.Good, Change: ch}
-		}
-	}
-	if !i.sendPeer(to, m) && m.Change != nil {
+	if f.has == have || f.has.revision == 0 || !i.tellChange(now, to, m, f.has) {
 		m.Change = nil
 		i.sendPeer(to, m)
 	}
@@ -167,6 +164,33 @@
 	i.peers.told[to] = f
 }
 
+const (
+	// tellServers is the number of servers in one datagram: an entry takes 80
+	// to 130 bytes.
+	tellServers = 8
+	// tellParts is the number of datagrams that one change may take; a call
+	// takes fewer bytes for more.
+	tellParts = 8
+)
+
+// tellChange sends the change since a position with the given header. It
+// reports whether the follower has all of it then, if no datagram is lost.
+func (i *Instance) tellChange(now time.Duration, to netip.Addr, m *wire.Message, has position) bool {
+	parts := i.catalog.Since(now, has.revision, has.version).Split(tellServers)
+	if parts[0].Whole || len(parts) > tellParts {
+		return false
+	}
+	after := has.revision
+	for _, part := range parts {
+		m.Change = &wire.Change{After: after, Age: m.Age, Good: m.Good, Change: part}
+		if !i.sendPeer(to, m) {
+			return false
+		}
+		after = part.Revision
+	}
+	return true
+}
+
 // tellFollowers tells all followers how current this instance is, if it became
 // more current since the last time. Knowledge gets older on its way, so that
 // two members that follow each other do not tell each other the same again.
