Play scripts around token instances in make scenarios and make demo-platform

Rolling restarts under both hashes, replaced servers, a kill of all, an instance that starts without the store, a watch that tells nothing, a crashed server whose address another service gets.

--- a/testkit/cmd/egrettack-testkit/main.go
+++ b/testkit/cmd/egrettack-testkit/main.go
@@ -45,6 +45,7 @@
 		{"publish", "publish the content of files", &publishCommand{}},
 		{"put", "set a fault in a stand-in", &putCommand{}},
 		{"await", "wait until URLs answer", &awaitCommand{}},
+		{"edge-demo", "play scripts around instances with affinity by token", &edgeDemoCommand{}},
 		{"queueing", "run the queueing model of placing and admission", &queueingCommand{}},
 		{"garbage", "send invalid datagrams and bytes to all ports of an instance", &garbageCommand{}},
 	} {
--- a/testkit/edge/caller.go
+++ b/testkit/edge/caller.go
@@ -78,6 +78,7 @@
 	in     chan packet
 	echo   uint32
 	opened time.Time
+	closed bool // by the server
 }
 
 // open opens a flow.
@@ -167,8 +168,21 @@
 	}
 }
 
+// ended reports whether the server has closed the flow.
+func (f *flow) ended() bool {
+	for {
+		select {
+		case p := <-f.in:
+			f.take(&p)
+		default:
+			return f.closed
+		}
+	}
+}
+
 func (f *flow) take(p *packet) {
 	f.echo = p.echo
+	f.closed = f.closed || p.has(fin) || p.has(rst)
 	if p.has(syn) {
 		return
 	}
--- a/testkit/edge/load.go
+++ b/testkit/edge/load.go
@@ -74,6 +74,10 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		deadline := began.Add(lookupBudget)
+		if f != nil && f.ended() {
+			f.end()
+			f = nil
+		}
 		var err error
 		for try := 0; try <= retries && time.Now().Before(deadline); try++ {
 			if f == nil {
--- /dev/null
+++ b/testkit/edge/script.go
@@ -0,0 +1,155 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// Script is a fixed course of faults and changes.
+type Script struct {
+	Name   string
+	Hash   string
+	Length time.Duration
+	// MayFail is the part of the requests that may fail: 0 for planned work.
+	MayFail float64
+	Play    func(*City) error
+}
+
+// Scripts returns the courses that scenarios and the demo play.
+func Scripts() []Script {
+	const short = 9 * time.Second
+	return []Script{
+		{"roll", "steady", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }},
+		{"roll-mod", "mod", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }},
+		{"replace-servers", "mod", short, 0, (*City).replaceServers},
+		{"kill-all", "steady", short, 0.15, (*City).killAll},
+		{"store-away", "steady", short, 0.05, (*City).restartWithoutStore},
+		{"silent-watch", "steady", short, 0, (*City).changeBehindSilentWatch},
+		{"crash-and-reuse", "mod", short, 0.05, (*City).crashAndReuse},
+	}
+}
+
+// rollAll stops each instance gracefully and starts it again.
+func (c *City) rollAll() error {
+	for _, i := range c.Instances {
+		if err := i.Stop(syscall.SIGTERM); err != nil {
+			return err
+		}
+		if err := i.Start(); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// replaceServers starts a server for each of a service and drains the old ones.
+func (c *City) replaceServers() error {
+	old := c.Servers()[:4]
+	for _, s := range old {
+		if _, err := c.AddServer(s.Service, s.Domain); err != nil {
+			return err
+		}
+		if err := s.Drain(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(c.cfg.DrainBound + 2*time.Second)
+	for _, s := range old {
+		s.Leave()
+	}
+	return nil
+}
+
+// killAll kills all instances at once and starts them again.
+func (c *City) killAll() error {
+	for _, i := range c.Instances {
+		if err := i.Stop(syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, i := range c.Instances {
+		if err := i.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartWithoutStore restarts an instance that cannot reach the store, and
+// changes the configuration meanwhile: it learns all from the others.
+func (c *City) restartWithoutStore() error {
+	i := c.Instances[0]
+	i.Proxy(Reset)
+	if err := i.Stop(syscall.SIGKILL); err != nil {
+		return err
+	}
+	if err := i.Start(); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	if err := c.Configure(c.Dest(Feed), c.Dest(Upload), c.ExtraDest(1)); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	i.Proxy(Pass)
+	return nil
+}
+
+// changeBehindSilentWatch drops a route while watches tell nothing, and uses
+// the route after the bound.
+func (c *City) changeBehindSilentWatch() error {
+	time.Sleep(c.cfg.Settle) // the instances are in touch from here on
+	if err := c.Configure(c.Dest(Feed), c.Dest(Upload), c.ExtraDest(1)); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	c.Store.SetFault(netip.Addr{}, Fault{Mute: true})
+	if err := c.Configure(c.Dest(Feed), c.Dest(Upload)); err != nil {
+		return err
+	}
+	time.Sleep(c.cfg.ApplyBound + 200*time.Millisecond)
+	for _, k := range c.callers {
+		if f, err := k.open(c.ExtraDest(1)); err == nil {
+			f.end() // the server has judged the opening packet
+		}
+	}
+	c.Store.SetFault(netip.Addr{}, Fault{})
+	return nil
+}
+
+// crashAndReuse crashes a server and gives its address to the other service.
+func (c *City) crashAndReuse() error {
+	s := c.Servers()[0]
+	s.Crash()
+	c.ReuseAddr(s)
+	time.Sleep(2 * time.Second)
+	_, err := c.AddServer(map[string]string{Feed: Upload, Upload: Feed}[s.Service], s.Domain)
+	return err
+}
+
+// Run plays a script under load and returns what became of the requests.
+func Run(cfg Config, s Script) (*Report, error) {
+	cfg.Hash = s.Hash
+	c, err := New(cfg)
+	defer c.Close()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.Length)
+	defer cancel()
+	played := make(chan error, 1)
+	go func() {
+		time.Sleep(time.Second)
+		played <- s.Play(c)
+	}()
+	counts := c.Load(ctx)
+	err = <-played
+	return &Report{
+		Seconds: time.Since(c.started).Seconds(), Counts: counts, Calls: c.Store.Calls(),
+		Violations: c.Violations(), Share: c.shares(),
+	}, err
+}
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -201,6 +201,10 @@
 	}
 	f.write(message(id, 600))
 	s.flush(k, f, time.Now())
+	if !s.draining.IsZero() {
+		// A leaving server closes each flow after its next answer.
+		s.send(k, f, packet{flags: fin | ack, seq: f.next, ack: f.want})
+	}
 }
 
 func (s *Server) flush(k flowKey, f *serverFlow, now time.Time) {
