Read pages one by one, from random ones on, with a try each

The paging moves from the adapter to the product: each page has its own tries, the first page only gives the configuration, an empty catalog is not pulled from peers while the store answers, and large changes get one log line.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -215,9 +215,9 @@
 	return p
 }
 
-// greetInterval is short after the start.
+// greetInterval is short after the start, while few members are known.
 func (f *Fleet) greetInterval() time.Duration {
-	if len(f.ranked) == 0 || f.greetings < earlyGreetings {
+	if len(f.ranked) < GossipSample && f.greetings < earlyGreetings || len(f.ranked) == 0 {
 		return greetEarly
 	}
 	return greetEvery
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/core/catalog"
 )
 
@@ -20,8 +18,6 @@
 	staleShare = 0.45
 	// readTimeout bounds one call; a slow store answers within 300 ms.
 	readTimeout = 700 * time.Millisecond
-	// listTimeout bounds the reading of everything.
-	listTimeout = 3 * time.Second
 	// retryFirst and retryLimit are the pauses after failed reads: the first,
 	// and the one that doubling leads to.
 	retryFirst = 100 * time.Millisecond
@@ -90,7 +86,7 @@
 	loaded, known := i.catalog.Loaded(), i.catalog.Revision()
 	i.mu.Unlock()
 	if !loaded {
-		if current, err := i.readFirst(ctx); current || err != nil {
+		if current, err := i.load(ctx); current || err != nil {
 			return err
 		}
 		return i.read(ctx)
@@ -142,41 +138,6 @@
 	return true
 }
 
-// readFirst fills the empty catalog. It reports whether it is current then.
-// New flows are placed while the first parts are known.
-func (i *Instance) readFirst(ctx context.Context) (current bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	at := i.clock.now()
-	ch, current, err := i.store.First(ctx, func(part *catalog.Change) {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		now := i.clock.now()
-		i.logApplied(i.catalog.Add(now, part), part, sourceName(netip.Addr{}), now-at)
-		i.retryHeld(now)
-	})
-	if err != nil {
-		return false, trace.Wrap(err)
-	}
-	if !current {
-		at = 1 // nothing is known of the age of the parts
-	}
-	i.apply(at, ch)
-	return current, nil
-}
-
-func (i *Instance) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	at := i.clock.now()
-	ch, err := i.store.All(ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	i.apply(at, ch)
-	return nil
-}
-
 // apply takes a change that the store had at the given time.
 func (i *Instance) apply(at time.Duration, ch *catalog.Change) {
 	i.mu.Lock()
@@ -198,6 +159,10 @@
 	i.tellFollowers(now)
 }
 
+// serverLines is the number of servers of one change that get a line each;
+// more get one line together.
+const serverLines = 32
+
 // logApplied logs what a change moved.
 func (i *Instance) logApplied(a catalog.Applied, ch *catalog.Change, from string, age time.Duration) {
 	if a.Config {
@@ -205,6 +170,11 @@
 		i.log.Info("configuration", "version", c.Version, "revision", c.Revision, "routes", len(c.Routes),
 			"from", from, "age", age)
 	}
+	if n := len(a.Added) + len(a.Changed) + len(a.Removed); n > serverLines {
+		i.log.Info("servers", "added", len(a.Added), "changed", len(a.Changed), "removed", len(a.Removed),
+			"revision", ch.Revision, "from", from, "age", age)
+		return
+	}
 	for _, s := range a.Added {
 		i.log.Info("server added", "server", s.Name, "service", s.Service, "addr", s.Addr, "domain", s.Domain,
 			"started", s.Started, "draining", s.Draining, "revision", s.Revision, "from", from, "age", age)
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -36,17 +36,18 @@
 	RequestID(packet []byte) []byte
 }
 
-// Store reads the settings store. Revision and All are
-// linearizable.
+// Store reads the settings store. Revision and Page are
+// linearizable unless stale.
 type Store interface {
 	// Revision returns the newest revision.
 	Revision(ctx context.Context) (catalog.Revision, error)
-	// All reads the configuration and all servers.
-	All(ctx context.Context) (*catalog.Change, error)
-	// First reads the same for an instance that knows nothing, and may take
-	// parts that are seconds old: current is false then. some is called with
-	// each part as it comes.
-	First(ctx context.Context, some func(*catalog.Change)) (ch *catalog.Change, current bool, err error)
+	// Page reads a part of the configuration and the servers: that after a
+	// position, "" for the first. next is the position after it, "" at the end;
+	// positions are ordered as text. A stale part may be seconds old and is
+	// not counted by the store's rate.
+	Page(ctx context.Context, after string, stale bool) (ch *catalog.Change, next string, err error)
+	// RandomPosition returns a position of the form of a known one.
+	RandomPosition(known string) string
 	// Since returns what changed after a revision.
 	Since(ctx context.Context, after catalog.Revision) (*catalog.Change, error)
 	// Reconnect makes the next call use a new connection.
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -100,13 +100,13 @@
 	return c.Revision, nil
 }
 
-func (s *fakeStore) All(context.Context) (*catalog.Change, error) { return s.get() }
-
-func (s *fakeStore) First(context.Context, func(*catalog.Change)) (*catalog.Change, bool, error) {
+func (s *fakeStore) Page(context.Context, string, bool) (*catalog.Change, string, error) {
 	c, err := s.get()
-	return c, true, err
+	return c, "", err
 }
 
+func (*fakeStore) RandomPosition(known string) string { return known }
+
 func (s *fakeStore) Since(context.Context, catalog.Revision) (*catalog.Change, error) {
 	return nil, errors.New("no history")
 }
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -113,12 +113,20 @@
 		i.tellFollowers(now)
 		return
 	}
-	if !i.peers.pulling {
+	if !i.peers.pulling && i.mayPull(now) {
 		i.peers.pulling = true
 		go i.pull(ctx, from)
 	}
 }
 
+// mayPull reports whether a change is pulled from a peer. An empty catalog is
+// filled from the store while that answers: stale pages cost the fleet less
+// than whole catalogs from members with small links.
+func (i *Instance) mayPull(now time.Duration) bool {
+	late := i.catalog.Config() == nil && now > firstPageLate
+	return i.catalog.Loaded() || i.state.storeLost || late
+}
+
 // pull fetches what a peer knows beyond this instance.
 func (i *Instance) pull(ctx context.Context, from netip.Addr) {
 	i.mu.Lock()
