Share the startup of the daemons and the loading of settings files

The two mains and the two settings packages had the same lines. TestStop now demands that packets are forwarded for 900 ms after SIGTERM; an instance that ends at once passed it before.

--- a/cmd/egrettack-edge/main.go
+++ b/cmd/egrettack-edge/main.go
@@ -4,16 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"egrettack.example/cmd/internal/startup"
 	instance "egrettack.example/node/edge"
 	"egrettack.example/node/logging"
 	"egrettack.example/platform"
@@ -29,41 +26,28 @@
 // is small, and memory is dearer to the users than the work.
 const gcPercent = 50
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
+const name = "egrettack-edge"
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := startup.Parse(args, &o); !ok {
+		return code
 	}
-	s, err := edge.Load(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "egrettack-edge:", err)
-		return exitUsage
-	}
-	if o.Check {
-		fmt.Println(o.Settings, "is valid")
-		return 0
+	s, code, ok := startup.Load(name, o.Settings, o.Check, edge.Load)
+	if !ok {
+		return code
 	}
 	return serve(o.Settings, s)
 }
 
 func serve(path string, s *edge.Settings) int {
 	debug.SetGCPercent(gcPercent)
-	level := new(slog.LevelVar)
-	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		fmt.Fprintln(os.Stderr, "egrettack-edge: log_level:", err)
-		return exitUsage
+	level, err := startup.Level(name, s.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return startup.ExitUsage
 	}
 	out := logging.NewWriter(os.Stdout)
 	defer out.Close()
@@ -82,12 +66,12 @@
 	})
 	if err != nil {
 		log.Error("start failed", "error", err)
-		return exitFailed
+		return startup.ExitFailed
 	}
 	go i.WatchSettings(ctx, path, hangups)
 	if err := i.Run(ctx); err != nil {
 		log.Error("stopped by a failure", "error", err)
-		return exitFailed
+		return startup.ExitFailed
 	}
 	return 0
 }
--- a/cmd/egrettack/main.go
+++ b/cmd/egrettack/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -11,8 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"egrettack.example/cmd/internal/startup"
 	"egrettack.example/node"
 	"egrettack.example/settings/daemon"
 )
@@ -29,48 +27,35 @@
 // nothing, so the memory of the usual doubling would buy little.
 const gcPercent = 15
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
+const name = "egrettack"
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := startup.Parse(args, &o); !ok {
+		return code
 	}
 	if o.Version {
-		fmt.Println("egrettack", version())
+		fmt.Println(name, version())
 		return 0
 	}
 	if o.Settings == "" {
-		fmt.Fprintln(os.Stderr, "egrettack: --settings is needed")
-		return exitUsage
-	}
-	s, err := daemon.Load(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "egrettack:", err)
-		return exitUsage
+		fmt.Fprintln(os.Stderr, name+": --settings is needed")
+		return startup.ExitUsage
 	}
-	if o.Check {
-		fmt.Println(o.Settings, "is valid")
-		return 0
+	s, code, ok := startup.Load(name, o.Settings, o.Check, daemon.Load)
+	if !ok {
+		return code
 	}
 	return serve(s, o)
 }
 
 func serve(s *daemon.Settings, o options) int {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		fmt.Fprintln(os.Stderr, "egrettack: log_level:", err)
-		return exitUsage
+	level, err := startup.Level(name, s.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return startup.ExitUsage
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("instance", s.Name)
 	slog.SetDefault(log)
@@ -82,11 +67,11 @@
 	n, err := node.New(s, node.Options{Profiles: o.Profiles, Log: log})
 	if err != nil {
 		log.Error("start failed", "error", err)
-		return exitFailed
+		return startup.ExitFailed
 	}
 	if err := n.Run(ctx); err != nil {
 		log.Error("stopped by a failure", "error", err)
-		return exitFailed
+		return startup.ExitFailed
 	}
 	return 0
 }
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -308,8 +308,11 @@
 	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
 	i.stop()
 	l.Eventually(func() int { return l.ready(1) }, "500ms").Should(Equal(http.StatusServiceUnavailable))
-	l.send(1, "SYN")
-	l.Expect(l.received(time.Second)).To(Equal("host-1 SYN"))
+	// The routers go on sending until they have asked twice in vain.
+	for began := time.Now(); time.Since(began) < 900*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+		l.send(1, "SYN")
+		l.Expect(l.received(time.Second)).To(Equal("host-1 SYN"))
+	}
 	select {
 	case err := <-i.done:
 		l.Expect(err).NotTo(HaveOccurred())
--- a/settings/daemon/daemon.go
+++ b/settings/daemon/daemon.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"net/url"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/core/snapshot"
 	"egrettack.example/settings/document"
 )
@@ -66,14 +64,7 @@
 
 // Load reads and checks the settings file. The error holds a
 // document.Problems when the text is wrong.
-func Load(path string) (*Settings, error) {
-	text, err := document.ReadFile(path)
-	if err != nil {
-		return nil, trace.Wrap(err, "reading the settings file")
-	}
-	s, err := Parse(path, text)
-	return s, trace.Wrap(err)
-}
+func Load(path string) (*Settings, error) { return document.Load(path, Parse) }
 
 // Parse reads settings from text. file stands in errors only.
 func Parse(file string, text []byte) (*Settings, error) {
--- a/settings/document/document.go
+++ b/settings/document/document.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/gravitational/trace"
 	"github.com/tailscale/hujson"
 )
 
@@ -54,6 +55,16 @@
 	return &Document{File: file, root: root, text: text, lines: make(map[string]int)}, nil
 }
 
+// Load reads a file with the parser of its type.
+func Load[S any](path string, parse func(file string, text []byte) (*S, error)) (*S, error) {
+	text, err := ReadFile(path)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the settings file")
+	}
+	s, err := parse(path, text)
+	return s, trace.Wrap(err)
+}
+
 // ReadFile returns the text of a file without reading far beyond MaxBytes.
 func ReadFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
--- a/settings/edge/edge.go
+++ b/settings/edge/edge.go
@@ -4,8 +4,6 @@
 import (
 	"net/netip"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/settings/document"
 )
 
@@ -29,14 +27,7 @@
 
 // Load reads and checks the settings file. The error holds a
 // document.Problems when the text is wrong.
-func Load(path string) (*Settings, error) {
-	text, err := document.ReadFile(path)
-	if err != nil {
-		return nil, trace.Wrap(err, "reading the settings file")
-	}
-	s, err := Parse(path, text)
-	return s, trace.Wrap(err)
-}
+func Load(path string) (*Settings, error) { return document.Load(path, Parse) }
 
 // Parse reads settings from text. file stands in errors only.
 func Parse(file string, text []byte) (*Settings, error) {
--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -85,39 +85,48 @@
 	}
 	c.http = &http.Server{Handler: c.Store}
 	go c.http.Serve(l)
+	if err := c.start(l.Addr().String()); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// start starts everything around the store at an address.
+func (c *City) start(store string) error {
 	if err := c.Configure(c.Dest(Feed), c.Dest(Upload)); err != nil {
-		return c, err
+		return err
 	}
-	for d, domain := range cfg.Domains {
-		for range cfg.Servers {
+	for d, domain := range c.cfg.Domains {
+		for range c.cfg.Servers {
 			for _, service := range []string{Feed, Upload} {
 				if _, err := c.AddServer(service, domain); err != nil {
-					return c, err
+					return err
 				}
 			}
 		}
-		for n := range cfg.Callers {
+		for n := range c.cfg.Callers {
 			k, err := c.newCaller(c.ip(byte(10+d), byte(n+1)), domain)
 			if err != nil {
-				return c, err
+				return err
 			}
 			c.callers = append(c.callers, k)
 		}
-		for n := range cfg.Instances {
-			if err := c.addInstance(domain, byte(20+d), byte(n+1), l.Addr().String()); err != nil {
-				return c, err
+		for n := range c.cfg.Instances {
+			if err := c.addInstance(domain, byte(20+d), byte(n+1), store); err != nil {
+				return err
 			}
 		}
 	}
 	for _, i := range c.Instances {
 		if err := i.Start(); err != nil {
-			return c, err
+			return err
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	go c.watchReady(ctx)
-	return c, c.waitReady()
+	return c.waitReady()
 }
 
 func (c *City) ip(x, y byte) netip.Addr { return netip.AddrFrom4([4]byte{127, c.cfg.Net, x, y}) }
--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -135,10 +135,10 @@
 func Run(cfg Config, s Script) (*Report, error) {
 	cfg.Hash = s.Hash
 	c, err := New(cfg)
-	defer c.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), s.Length)
 	defer cancel()
 	played := make(chan error, 1)
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -59,10 +59,10 @@
 	s := &soak{rnd: rand.New(rand.NewPCG(seed, 1))}
 	cfg.Hash = []string{"steady", "mod"}[s.rnd.IntN(2)]
 	c, err := New(cfg)
-	defer c.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer c.Close()
 	s.c = c
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
