--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -22,8 +22,7 @@
 	// and the one that doubling leads to.
 	retryFirst = 100 * time.Millisecond
 	retryLimit = 800 * time.Millisecond
-	// readLeast is the least pause between reads, while the store holds no
-	// configuration yet.
+	// readLeast is the least pause between reads.
 	readLeast = 200 * time.Millisecond
 	// followLeast and followMost bound the pause between two looks at the age of
 	// the catalog. The longest is short beside the time in which a source that
@@ -70,7 +69,7 @@
 func (i *Instance) readDue() time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.catalog.Complete() {
+	if !i.catalog.Loaded() {
 		return 0
 	}
 	share := staleShare
@@ -86,10 +85,9 @@
 	loaded, known := i.catalog.Loaded(), i.catalog.Revision()
 	i.mu.Unlock()
 	if !loaded {
-		if current, err := i.load(ctx); current || err != nil {
-			return err
-		}
-		return i.read(ctx)
+		// What has changed since stale pages usually comes from the source
+		// before the next read is due.
+		return i.load(ctx)
 	}
 	at := i.clock.now()
 	rev, err := i.readRevision(ctx)
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -25,32 +25,31 @@
 	pagePause = 50 * time.Millisecond
 )
 
-// load fills the empty catalog. It reports whether it is current then.
-// Deployments of one page are read at once. For larger ones the first page has
-// the configuration, and the others are stale, from a random one on: new flows
-// are placed while they come, and instances that start together begin with
-// different servers.
-func (i *Instance) load(ctx context.Context) (current bool, err error) {
+// load fills the empty catalog. Deployments of one page are read at once. For
+// larger ones the first page has the configuration, and the others are stale,
+// from a random one on: new flows are placed while they come, and instances
+// that start together begin with different servers.
+func (i *Instance) load(ctx context.Context) error {
 	at := i.clock.now()
 	first, next, err := i.page(ctx, "", false)
 	if err != nil {
-		return false, err
+		return err
 	}
 	if next == "" {
 		first.Whole = true
 		i.apply(at, first)
-		return true, nil
+		return nil
 	}
 	i.add(at, &catalog.Change{Revision: first.Revision, Config: first.Config})
 	start := i.store.RandomPosition(next)
 	all := &catalog.Change{Whole: true, Revision: first.Revision, Config: first.Config}
 	for _, part := range [][2]string{{start, ""}, {"", start}} {
 		if err := i.pages(ctx, part[0], part[1], true, all); err != nil {
-			return false, err
+			return err
 		}
 	}
 	i.apply(1, all) // nothing is known of the age of the stale pages
-	return false, nil
+	return nil
 }
 
 // readAll reads everything anew, for a catalog whose changes are not to be had.
