Keep servers in use whose entries lapsed while the store was away

The time on the way of instances in touch was ruled out by the log: all read the same list. TestLapsedServersStayInUseForAWhile and TestLapsedServersThatDoNotComeBack failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -33,11 +33,14 @@
 
 	servers  map[ServerID]*Server // the latest start of each
 	byToken  map[token.Token]*Server
-	services map[string][]*Server // published, in no order
+	services map[string][]*Server // in use for new flows, in no order
 	changes  uint64
 
 	asOf      time.Duration // the store was at revision or before at this time
 	goodSince time.Duration // start of the present span of good reads
+	// lapsedUntil is until when servers without an entry stay in use that went
+	// missing at the begin of the span, 0 when there are none.
+	lapsedUntil time.Duration
 }
 
 // New returns an empty catalog.
@@ -95,8 +98,8 @@
 	return false
 }
 
-// Service returns the published servers of a service. The slice must not be
-// changed.
+// Service returns the servers of a service that are in use for new flows,
+// draining ones included. The slice must not be changed.
 func (c *Catalog) Service(name string) []*Server { return c.services[name] }
 
 // ByToken returns the server that a token names, nil if it is not known.
@@ -176,6 +179,7 @@
 		a.Stale = true
 		return a
 	}
+	again := c.loaded
 	if ch.Whole {
 		c.markMissing(now, ch, &a)
 		if !c.loaded {
@@ -192,6 +196,9 @@
 	}
 	c.revision = ch.Revision
 	c.good(goodSince, at)
+	if again && len(a.Removed) > 0 && now < c.goodSince+goneAfter {
+		c.lapsedUntil = c.goodSince + goneAfter
+	}
 	if len(a.Added)+len(a.Removed)+len(a.Changed) > 0 {
 		c.index()
 	}
@@ -272,13 +279,19 @@
 // Changes returns a number that differs after each change of the servers.
 func (c *Catalog) Changes() uint64 { return c.changes }
 
-// index lists the published servers by service.
+// lapsed reports whether the server's entry went missing right after the store
+// came back: it lapsed while the store was away, and the server may live.
+func (c *Catalog) lapsed(s *Server) bool {
+	return c.lapsedUntil > 0 && s.Missing >= c.goodSince && !s.Draining
+}
+
+// index lists the servers in use by service.
 func (c *Catalog) index() {
 	c.changes++
 	clear(c.services)
 	for _, s := range c.servers {
 		// A server whose token names another one cannot keep flows.
-		if s.Published() && c.byToken[s.Token] == s {
+		if (s.Published() || c.lapsed(s)) && c.byToken[s.Token] == s {
 			c.services[s.Service] = append(c.services[s.Service], s)
 		}
 	}
@@ -300,9 +313,13 @@
 	return c.loaded && c.asOf >= at && c.goodSince > 0 && c.asOf-c.goodSince > goneAfter
 }
 
-// Forget drops servers whose entries have been missing for longer than flows
-// last.
+// Forget takes lapsed servers out of use that did not come back, and drops
+// those whose entries have been missing for longer than flows last.
 func (c *Catalog) Forget(now time.Duration) {
+	if c.lapsedUntil > 0 && now >= c.lapsedUntil {
+		c.lapsedUntil = 0
+		c.index()
+	}
 	for t, s := range c.byToken {
 		superseded := c.servers[s.ID] != s
 		if !superseded && s.Published() || now-max(s.Missing, s.FirstSeen) < keepMissing {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -91,6 +91,50 @@
 	g.Expect(c.Gone(23*second, s)).To(BeTrue())
 }
 
+// Guards against too few servers right after the store's return: entries that
+// lapsed meanwhile are back within two seconds, so that their servers stay in
+// use until then. Those that leave in a calm hour do not.
+func TestLapsedServersStayInUseForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(1, 3), server(2, 4), server(3, 5)))
+	leaving := server(3, 9)
+	leaving.Draining = true
+	c.Apply(second, second, second, &Change{Revision: 10, Servers: []Server{leaving}})
+	back := 20 * second
+	c.Apply(back, back, back, list(12, nil, server(2, 4)))
+	g.Expect(ids(c.Service("feed"))).To(ConsistOf(ServerID(1), ServerID(2)), "the draining one is not used")
+	c.Confirm(back+second, 12)
+	c.Apply(back+second, back+second, back+second, &Change{Revision: 13, Servers: []Server{server(1, 13)}})
+	for at := back; at <= back+4*second; at += second / 10 {
+		c.Confirm(at, 13)
+		c.Forget(at)
+	}
+	g.Expect(ids(c.Service("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+	calm := back + 4*second
+	c.Apply(calm, calm, back, &Change{Revision: 14, Removed: []Removal{{ID: 1, Revision: 14}}})
+	g.Expect(ids(c.Service("feed"))).To(ConsistOf(ServerID(2)))
+}
+
+// Guards against lapsed servers that stay in use for ever.
+func TestLapsedServersThatDoNotComeBack(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, list(10, config(1), server(1, 3), server(2, 4)))
+	back := 20 * second
+	c.Apply(back, back, back, list(12, nil, server(2, 4)))
+	g.Expect(c.Service("feed")).To(HaveLen(2))
+	c.Forget(back + goneAfter + 1)
+	g.Expect(ids(c.Service("feed"))).To(ConsistOf(ServerID(2)))
+}
+
+func ids(list []*Server) (out []ServerID) {
+	for _, s := range list {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
 // Guards against a server that comes back under its number being taken for the
 // start whose flows it has lost.
 func TestServerStartsAgain(t *testing.T) {
