Keep the account of lapsed servers that are in use

Cause, found by reading: the engine dropped the account of servers without an entry, while the list of candidates kept the old one, so that a dead server whose entry lapsed during an outage of the store looked idle and was never avoided. TestLapsedServersAreAvoidedWhenSilent placed 19 of 40 flows on it before, at most 5 now.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -105,10 +105,6 @@
 // ByToken returns the server that a token names, nil if it is not known.
 func (c *Catalog) ByToken(t token.Token) *Server { return c.byToken[t] }
 
-// Current returns the latest start of the server that s is a start of, nil if
-// none is known any more.
-func (c *Catalog) Current(s *Server) *Server { return c.servers[s.ID] }
-
 // Servers calls f for the latest start of each server.
 func (c *Catalog) Servers(f func(*Server)) {
 	for _, s := range c.servers {
@@ -285,13 +281,18 @@
 	return c.lapsedUntil > 0 && s.Missing >= c.goodSince && !s.Draining
 }
 
+// InUse reports whether the server may get new flows unless it is draining.
+func (c *Catalog) InUse(s *Server) bool {
+	return c.servers[s.ID] == s && (s.Published() || c.lapsed(s))
+}
+
 // index lists the servers in use by service.
 func (c *Catalog) index() {
 	c.changes++
 	clear(c.services)
 	for _, s := range c.servers {
 		// A server whose token names another one cannot keep flows.
-		if (s.Published() || c.lapsed(s)) && c.byToken[s.Token] == s {
+		if c.InUse(s) && c.byToken[s.Token] == s {
 			c.services[s.Service] = append(c.services[s.Service], s)
 		}
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -149,7 +149,7 @@
 	g.Expect(c.Gone(2*second, old)).To(BeTrue())
 	g.Expect(c.Service("feed")).To(HaveLen(1))
 	g.Expect(c.Service("feed")[0].Token).To(Equal(token.Of(1, 9000)))
-	g.Expect(c.Current(old)).To(BeIdenticalTo(c.Service("feed")[0]))
+	g.Expect(c.InUse(old)).To(BeFalse())
 }
 
 // collide returns two server numbers whose tokens are equal for the starts
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -217,6 +217,34 @@
 	l.Expect(l.e.load(silent).silent(l.now + 2*silentAfter)).To(BeFalse())
 }
 
+// Guards against all new flows going to a dead server whose entry lapsed while
+// the store was away: it stays in use for a while, and its account has to be
+// the one that the choice looks at.
+func TestLapsedServersAreAvoidedWhenSilent(t *testing.T) {
+	l := newLab(t)
+	l.now = time.Minute
+	dead := l.known(1)
+	l.c.Apply(l.now, l.now, l.now, &catalog.Change{
+		Revision: 12, Whole: true, Servers: []catalog.Server{server(2, "feed", "a"), server(4, "upload", "a")},
+	})
+	l.e.pool("feed") // collects the candidates
+	l.e.Tick(l.now)
+	got := 0
+	for range 40 {
+		l.now += 20 * time.Millisecond
+		from := l.caller()
+		v := l.syn(from, feed, 0)
+		if v.Server.ID == dead.ID {
+			got++
+		} else {
+			l.answer(from, feed, v.Server)
+			l.e.Decide(l.now, &Packet{Caller: from, Dest: feed, RST: true, Token: v.Server.Token})
+		}
+		l.e.Tick(l.now)
+	}
+	l.Expect(got).To(BeNumerically("<=", 5), "flows placed on the dead server before it was avoided")
+}
+
 // Guards against refusals for want of a server that answers: when all are
 // silent, new flows still go to one.
 func TestAllSilent(t *testing.T) {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -148,7 +148,7 @@
 	}
 	e.sweep = e.sweep[n:]
 	for s, l := range e.loads {
-		if l.open == 0 && (!s.Published() || e.catalog.Current(s) != s) {
+		if l.open == 0 && !e.catalog.InUse(s) {
 			delete(e.loads, s)
 		}
 	}
