--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 # RUN selects scenarios by name, SEED repeats a run.
 scenarios: build
 	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' ./testkit/
-	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) RUNS=2 go test -count=1 -timeout 5m -parallel 3 -run '(TestScripts|TestSoak)/$(RUN)' -v ./testkit/edge | grep -v '^=== '
+	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) RUNS=2 go test -count=1 -timeout 5m -parallel 3 -run '(TestScripts|TestSoak)/$(RUN)' ./testkit/edge
 
 # Runs of random faults against instances with affinity by token, from SEED on.
 # Reports and plots go to SOAK_DIR.
