Scale the gap between good reads of the store with the apply time

Cause, found by reading: two reads more than 2 s apart began a new span of good state, while the store is read each quarter of the apply time. From 8 s on no server ever counted as gone, and flows on ended servers were never refused. TestGoneWithRareReads fails with the fixed gap.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -16,9 +16,9 @@
 	// the packets of its flows are delivered or refused: the longest life of a
 	// flow.
 	keepMissing = 60 * time.Second
-	// storeGap is the longest time between two good reads that count as one
-	// span of good state: three intervals between reads.
-	storeGap = 2 * time.Second
+	// defaultStoreGap is the longest time between two good reads that count as
+	// one span of good state, while SetStoreGap was not called.
+	defaultStoreGap = 2 * time.Second
 )
 
 // Catalog is the merged knowledge of one instance. It is not safe for
@@ -38,6 +38,7 @@
 
 	asOf      time.Duration // the store was at revision or before at this time
 	goodSince time.Duration // start of the present span of good reads
+	storeGap  time.Duration // longest time between two reads of a span
 	// lapsedUntil is until when servers without an entry stay in use that went
 	// missing at the begin of the span, 0 when there are none.
 	lapsedUntil time.Duration
@@ -51,9 +52,15 @@
 		servers:  make(map[ServerID]*Server),
 		byToken:  make(map[token.Token]*Server),
 		services: make(map[string][]*Server),
+		storeGap: defaultStoreGap,
 	}
 }
 
+// SetStoreGap sets the longest time between two good reads of the store that
+// count as one span of good state. It has to be longer than the interval of
+// reads, or no server ever counts as gone.
+func (c *Catalog) SetStoreGap(d time.Duration) { c.storeGap = d }
+
 // Complete reports whether the catalog has a configuration and a whole list of
 // servers.
 func (c *Catalog) Complete() bool { return c.config != nil && c.loaded }
@@ -155,7 +162,7 @@
 	if at < c.asOf && c.goodSince > 0 {
 		return
 	}
-	if c.goodSince == 0 || at-c.asOf > storeGap {
+	if c.goodSince == 0 || at-c.asOf > c.storeGap {
 		c.goodSince = max(since, 1)
 	} else {
 		c.goodSince = min(c.goodSince, max(since, 1))
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -91,6 +91,23 @@
 	g.Expect(c.Gone(23*second, s)).To(BeTrue())
 }
 
+// Guards against servers that never count as gone where the store is read less
+// often than every two seconds, as for a long apply time.
+func TestGoneWithRareReads(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.SetStoreGap(6 * second)
+	c.Apply(second, second, second, list(10, config(1), server(1, 3), server(2, 4)))
+	s := c.ByToken(token.Of(1, 1001))
+	for at := 4 * second; at <= 13*second; at += 3 * second {
+		c.Confirm(at, 10)
+	}
+	c.Apply(16*second, 16*second, 16*second, &Change{Revision: 11, Removed: []Removal{{ID: 1, Revision: 11}}})
+	g.Expect(c.Gone(16*second, s)).To(BeFalse())
+	c.Confirm(19*second, 11)
+	g.Expect(c.Gone(19*second, s)).To(BeTrue())
+}
+
 // Guards against too few servers right after the store's return: entries that
 // lapsed meanwhile are back within two seconds, so that their servers stay in
 // use until then. Those that leave in a calm hour do not.
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -16,6 +16,9 @@
 	// failed reads.
 	readShare  = 0.25
 	staleShare = 0.45
+	// gapShare of it may lie between two good reads of the store that count as
+	// one span: a follower's read after its source fell silent, and a retry.
+	gapShare = 0.65
 	// readTimeout bounds one call; a slow store answers within 300 ms.
 	readTimeout = 700 * time.Millisecond
 	// retryFirst and retryLimit are the pauses after failed reads: the first,
@@ -76,9 +79,11 @@
 	if !i.peers.fleet.Source().IsValid() {
 		share = readShare
 	}
-	return i.catalog.AsOf() + time.Duration(share*float64(i.set.ApplyWithin.Duration))
+	return i.catalog.AsOf() + partOf(i.set.ApplyWithin.Duration, share)
 }
 
+func partOf(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 // read brings the catalog up to the store's present revision.
 func (i *Instance) read(ctx context.Context) error {
 	i.mu.Lock()
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -94,6 +94,7 @@
 func New(o Options) (*Instance, error) {
 	s := o.Settings
 	c := catalog.New()
+	c.SetStoreGap(partOf(s.ApplyWithin.Duration, gapShare))
 	i := &Instance{
 		set: s, packets: o.Packets, log: o.Log, level: o.Level,
 		clock:   newClock(),
--- a/node/edge/reload.go
+++ b/node/edge/reload.go
@@ -69,6 +69,7 @@
 	next.Seeds, next.StopGrace, next.ApplyWithin, next.LogLevel = s.Seeds, s.StopGrace, s.ApplyWithin, s.LogLevel
 	i.set = &next
 	i.peers.fleet.SetSeeds(seedAddrs(s))
+	i.catalog.SetStoreGap(partOf(s.ApplyWithin.Duration, gapShare))
 	if err := i.level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		i.log.Error("log level not set", "level", s.LogLevel, "error", err)
 	}
