--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -352,6 +352,17 @@
 	l.Eventually(applyWithin, 2*settingsEvery).Should(Equal(5 * time.Second))
 }
 
+// Guards against an instance that ends since its metrics port is taken.
+func TestMetricsPortTaken(t *testing.T) {
+	l := newLab(t)
+	taken, err := net.Listen("tcp4", netip.AddrPortFrom(l.ip(1), 7735).String())
+	l.Expect(err).NotTo(HaveOccurred())
+	defer taken.Close()
+	i := l.start(1, l.store)
+	l.Eventually(i.log.String).Should(ContainSubstring("no metrics"))
+	l.Eventually(func() int { return l.ready(1) }).Should(Equal(http.StatusOK))
+}
+
 // Guards against metrics that are not served, or that leave decisions out.
 func TestMetrics(t *testing.T) {
 	l := newLab(t)
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -53,7 +53,13 @@
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(i.metrics.registry, promhttp.HandlerOpts{}))
 		addr := &net.TCPAddr{IP: i.set.Packets.Addr().AsSlice(), Port: i.set.MetricsPort}
-		g.Go(func() error { return serve(ctx, addr.String(), mux) })
+		g.Go(func() error {
+			// Packets are served without metrics as well.
+			if err := serve(ctx, addr.String(), mux); err != nil {
+				i.log.Error("no metrics", "error", err)
+			}
+			return nil
+		})
 	}
 	return g.Wait()
 }
