Take a configuration in one place of the catalog

Add and Apply had the same check of the version before they took a configuration; takeConfig now serves both. GoodSince had no caller left.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"egrettack.example/core/token"
@@ -85,24 +86,13 @@
 // AsOf returns the time at which the catalog was known to be current.
 func (c *Catalog) AsOf() time.Duration { return c.asOf }
 
-// GoodSince returns since when the store has been read without a gap.
-func (c *Catalog) GoodSince() time.Duration { return c.goodSince }
-
 // Route returns the route of an address, nil if there is none.
 func (c *Catalog) Route(dest netip.AddrPort) *Route { return c.routes[dest] }
 
 // MayLead reports whether flows of the route may be open at servers of the
 // service, by this configuration or a former one that this instance has seen.
 func (c *Catalog) MayLead(r *Route, service string) bool {
-	if r.Leads(service) {
-		return true
-	}
-	for _, s := range c.former[r.Dest] {
-		if s == service {
-			return true
-		}
-	}
-	return false
+	return r.Leads(service) || slices.Contains(c.former[r.Dest], service)
 }
 
 // Service returns the servers of a service that are in use for new flows,
@@ -126,10 +116,7 @@
 	if c.loaded {
 		return a
 	}
-	if ch.Config != nil && ch.Config.Version > c.Version() {
-		c.setConfig(ch.Config)
-		a.Config = true
-	}
+	a.Config = c.takeConfig(ch.Config)
 	for i := range ch.Servers {
 		c.put(now, ch.Servers[i], &a)
 	}
@@ -174,10 +161,7 @@
 // good state since goodSince. It reports what the change moved.
 func (c *Catalog) Apply(now, at, goodSince time.Duration, ch *Change) Applied {
 	var a Applied
-	if ch.Config != nil && ch.Config.Version > c.Version() {
-		c.setConfig(ch.Config)
-		a.Config = true
-	}
+	a.Config = c.takeConfig(ch.Config)
 	if ch.Revision < c.revision {
 		a.Stale = true
 		return a
@@ -215,6 +199,16 @@
 	Added, Changed, Removed []*Server
 }
 
+// takeConfig takes a configuration unless it is nil or no newer than that in
+// force. It reports whether it was taken.
+func (c *Catalog) takeConfig(cfg *Config) bool {
+	if cfg == nil || cfg.Version <= c.Version() {
+		return false
+	}
+	c.setConfig(cfg)
+	return true
+}
+
 func (c *Catalog) setConfig(cfg *Config) {
 	routes := make(map[netip.AddrPort]*Route, len(cfg.Routes))
 	for i := range cfg.Routes {
