Reset flows of a server without an entry only while it is silent

Ruled out: knowledge that is older than its stated age.

Change: catalog.Ended tells what is certain (a later incarnation, another server at the same address, a drained server that left a healthy store). catalog.Gone, without an entry, no longer resets by itself: the flows are forwarded until retransmissions over 400 ms found no response, and are reset at once for 3 s after that. A token passes to another server only when its holder has ended.

Tests: core/steer TestRunningServerWithoutEntryKeepsItsFlows (fails before: the first request is reset), TestSilentServerWithoutEntryIsReset, TestBurstOfRetransmissionsIsNoSilence, TestResponseEndsSilence, TestServerWithReusedAddressIsReset, TestDrainedServerIsReset.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -13,6 +13,10 @@
 	// before its server counts as gone. Running servers publish themselves again
 	// within about 2 s after a store outage.
 	goneTimeout = 2500 * time.Millisecond
+	// entryLifetime is how long the entry of a server that falls silent stays in
+	// the store: three heartbeats of at most 1.5 s. An entry that is removed after
+	// the store has been healthy for longer was not lost during an outage.
+	entryLifetime = 4500 * time.Millisecond
 	// missingRetention is how long a server without an entry is kept, so that
 	// packets of its flows are still delivered or refused. It is the maximum
 	// lifetime of a flow.
@@ -34,7 +38,8 @@
 
 	servers    map[ServerID]*Server // the latest incarnation of each
 	byToken    map[token.Token]*Server
-	byService  map[string][]*Server // active servers, unordered
+	byService  map[string][]*Server       // active servers, unordered
+	byAddr     map[netip.AddrPort]*Server // published servers
 	generation uint64
 
 	asOf         time.Duration // time at which the store was not ahead of revision
@@ -53,6 +58,7 @@
 		servers:        make(map[ServerID]*Server),
 		byToken:        make(map[token.Token]*Server),
 		byService:      make(map[string][]*Server),
+		byAddr:         make(map[netip.AddrPort]*Server),
 		maxReadGap:     defaultMaxReadGap,
 	}
 }
@@ -185,6 +191,9 @@
 	}
 	c.revision = ch.Revision
 	c.recordHealthy(healthySince, at)
+	for _, s := range result.Removed {
+		s.left = s.Draining && c.asOf-c.healthySince > entryLifetime
+	}
 	if wasLoaded && len(result.Removed) > 0 && now < c.healthySince+goneTimeout {
 		c.graceEnd = c.healthySince + goneTimeout
 	}
@@ -269,7 +278,7 @@
 	entry.Token = token.ForServer(uint64(entry.ID), entry.Started)
 	entry.FirstSeen, entry.MissingSince = now, 0
 	c.servers[entry.ID] = &entry
-	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Gone(now, holder) {
+	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Ended(holder) {
 		c.byToken[entry.Token] = &entry
 	}
 	result.Added = append(result.Added, &entry)
@@ -296,7 +305,11 @@
 func (c *Catalog) rebuildIndex() {
 	c.generation++
 	clear(c.byService)
+	clear(c.byAddr)
 	for _, s := range c.servers {
+		if s.Published() {
+			c.byAddr[s.Addr] = s
+		}
 		// A server whose token identifies another one would lose its flows.
 		if c.Active(s) && c.byToken[s.Token] == s {
 			c.byService[s.Service] = append(c.byService[s.Service], s)
@@ -304,10 +317,25 @@
 	}
 }
 
-// Gone reports whether the server has certainly ended: a later incarnation
-// replaced it, or its entry has been missing from a healthy store for longer
-// than goneTimeout.
-func (c *Catalog) Gone(now time.Duration, s *Server) bool {
+// Ended reports whether the server has certainly ended: a later incarnation
+// replaced it, another server has its address, or it was draining and its entry
+// was removed from a healthy store.
+func (c *Catalog) Ended(s *Server) bool {
+	switch {
+	case c.servers[s.ID] != s:
+		return true
+	case s.Published():
+		return false
+	case c.byAddr[s.Addr] != nil:
+		return true
+	}
+	return s.left && c.Gone(s)
+}
+
+// Gone reports whether the entry of the server has been missing from a healthy
+// store for longer than goneTimeout, or the server has ended. A server that is
+// gone may still be running if the store does not accept its entry.
+func (c *Catalog) Gone(s *Server) bool {
 	if c.servers[s.ID] != s {
 		return true
 	}
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -42,6 +42,9 @@
 	FirstSeen time.Duration `cbor:"-"`
 	// MissingSince is when the entry was found missing, 0 while it is published.
 	MissingSince time.Duration `cbor:"-"`
+	// left is set if the server was draining when its entry was removed from a
+	// healthy store.
+	left bool
 	// removedRevision is the revision at which the entry was removed, valid while
 	// it is missing.
 	removedRevision Revision
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -42,6 +42,7 @@
 	openFlows, inFlight int           // flows, and requests without a response
 	unansweredSince     time.Duration // first SYN since the server's last response, 0 if there was none
 	lastSYN             time.Duration
+	silence             silence
 
 	history        outlier.History
 	excess         float64       // by which its failure rate exceeds the baseline of the servers with recent requests
@@ -127,7 +128,7 @@
 	st.lastSYN = now
 }
 
-func (st *serverState) responded() { st.unansweredSince = 0 }
+func (st *serverState) responded() { st.unansweredSince, st.silence = 0, silence{} }
 
 // unresponsive reports whether the server is to be avoided: a SYN has been
 // unanswered for too long, and no trial is due.
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -86,6 +86,8 @@
 	if f == nil {
 		f = &flowEntry{synSeq: p.Seq, nextSeq: p.Seq + 1}
 		e.flows[key] = f
+	} else {
+		e.state(f.server).silence.add(now)
 	}
 	f.lastPacket = now
 	e.assign(now, f, s)
@@ -106,6 +108,9 @@
 		// the server that the first packet after the handshake went to.
 		s = f.server
 	}
+	if s != nil {
+		e.observeSilence(now, f, s, p)
+	}
 	switch {
 	case p.Token == 0 && s == nil:
 		return Verdict{Action: Drop, Reason: NoToken}
@@ -115,7 +120,9 @@
 		return Verdict{Action: Hold, Reason: UnknownToken}
 	case !e.catalog.MayHaveFlows(route, s.Service):
 		return Verdict{Action: Drop, Reason: WrongService}
-	case e.catalog.Gone(now, s):
+	case e.catalog.Ended(s) || e.catalog.Gone(s) && e.state(s).silence.confirmed(now):
+		// A server without an entry may still be running, so its flows are only
+		// reset while it is silent.
 		e.removeFlowByKey(key)
 		if p.RST {
 			return Verdict{Action: Drop, Reason: ServerGone, Server: s}
--- /dev/null
+++ b/core/steer/gone_test.go
@@ -0,0 +1,142 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/catalog"
+)
+
+// loseEntry removes the entry of a server in an outage of the store and lets time
+// pass until the server counts as gone.
+func (l *fixture) loseEntry(id catalog.ServerID) *catalog.Server {
+	l.now += time.Minute
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{
+		Revision: 20, Removed: []catalog.Removal{{ID: id, Revision: 20}},
+	})
+	s := l.serverByID(id)
+	for !l.catalog.Gone(s) {
+		l.now += 500 * time.Millisecond
+		l.catalog.Confirm(l.now, 20)
+	}
+	return s
+}
+
+// request sends the data of a request on an open flow. Sent again with the same
+// seq it is a retransmission.
+func (l *fixture) request(f flowEnds, seq, ack uint32) Verdict {
+	return l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, ACK: true, Seq: seq, Ack: ack, Len: 50, Token: f.Token})
+}
+
+// flowEnds identifies an open flow.
+type flowEnds = Packet
+
+// openFlowTo returns a flow that is open at a server, as an instance sees it that
+// has not seen its handshake.
+func (l *fixture) openFlowTo(s *catalog.Server) flowEnds {
+	return flowEnds{Caller: l.newCaller(), Dest: feed, Token: s.Token}
+}
+
+// Guards against resetting the flows of a running server whose entry does not
+// return after an outage of the store, because the store does not accept it.
+func TestRunningServerWithoutEntryKeepsItsFlows(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	f := l.openFlowTo(s)
+	seq, ack := uint32(101), uint32(1)
+	for range 20 {
+		v := l.request(f, seq, ack)
+		l.Expect(v.Action).To(Equal(Forward))
+		l.Expect(v.Server).To(Equal(s))
+		seq, ack = seq+50, ack+1000
+		l.now += 20 * time.Millisecond
+		// The caller acknowledges the response.
+		l.Expect(l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: feed, ACK: true, Seq: seq, Ack: ack, Token: f.Token}).Action).To(Equal(Forward))
+		l.now += 700 * time.Millisecond
+		l.engine.Tick(l.now)
+	}
+}
+
+// Guards against callers that wait until their deadline for a server that ended
+// without a word: its flows are reset once it has left retransmissions
+// unanswered, and its other flows at once.
+func TestSilentServerWithoutEntryIsReset(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	f := l.openFlowTo(s)
+	l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward))
+	l.now += 200 * time.Millisecond
+	l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward))
+	l.now += 400 * time.Millisecond
+	v := l.request(f, 101, 1)
+	l.Expect(v.Action).To(Equal(Reset))
+	l.Expect(v.Reason).To(Equal(ServerGone))
+	l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Reset), "another flow")
+	// The evidence expires: it may have been the network between the two.
+	l.now += silenceTTL + 1
+	l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Forward))
+}
+
+// Guards against taking retransmissions that arrive in one burst, after a pause
+// of this process, for a server that is silent.
+func TestBurstOfRetransmissionsIsNoSilence(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.loseEntry(1))
+	for range 4 {
+		l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward))
+	}
+}
+
+// Guards against evidence of silence that outlives a response of the server.
+func TestResponseEndsSilence(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	silent, answered := l.openFlowTo(s), l.openFlowTo(s)
+	l.request(answered, 101, 1)
+	for _, pause := range []time.Duration{0, 200, 400} {
+		l.now += pause * time.Millisecond
+		l.request(silent, 101, 1)
+	}
+	l.engine.Decide(l.now, &Packet{Caller: answered.Caller, Dest: feed, ACK: true, Seq: 151, Ack: 900, Token: s.Token})
+	l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Forward))
+}
+
+// Guards against callers that wait for a server whose address belongs to another
+// one by now.
+func TestServerWithReusedAddressIsReset(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	next := newServer(7, "upload", "a")
+	next.Addr, next.Revision = s.Addr, 21
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 21, Servers: []catalog.Server{next}})
+	l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Reset))
+}
+
+// Guards against callers that wait for a server that has left as planned, and
+// against taking one for it whose entry expired while the store was away.
+func TestDrainedServerIsReset(t *testing.T) {
+	for _, healthyBefore := range []time.Duration{time.Minute, time.Second} {
+		l := newFixture(t)
+		draining := newServer(1, "feed", "a")
+		draining.Draining, draining.Revision = true, 11
+		l.now += time.Hour
+		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Servers: []catalog.Server{draining}})
+		for end := l.now + healthyBefore; l.now < end; l.now += 500 * time.Millisecond {
+			l.catalog.Confirm(l.now, 11)
+		}
+		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 12, Removed: []catalog.Removal{{ID: 1, Revision: 12}}})
+		s := l.serverByID(1)
+		l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Forward))
+		for !l.catalog.Gone(s) {
+			l.now += 500 * time.Millisecond
+			l.catalog.Confirm(l.now, 12)
+		}
+		want := Reset
+		if healthyBefore < time.Minute {
+			want = Forward
+		}
+		l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(want), "store healthy for %s before", healthyBefore)
+	}
+}
