Let removals reach every follower, and give an address one server

The store returns 500 changes at most; the reader took that for a lag and read full lists instead (132 times). A full list tells that a server is missing but not since when, and its removal was noted with the list's revision. Followers that had reached a lower revision through another member, or a part of a change that was split into datagrams, then never got the removal: it counted as known to them. The address of such a server already belonged to another one, whose entry was published later.

Ruled out: entries that the store keeps. A process that started at 34.4 s logged the same number of servers, but the store's own changes 603 to 1202 are removals (trial with a log line for each read).

Change: changes are read in parts until they reach the store's revision. After a full list, peers below its revision get a full list too. A server whose address was published later by another one has ended.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,12 +34,12 @@
 	formerServices    map[netip.AddrPort][]string // former target services of the current routes
 	revision          Revision
 	loaded            bool     // a full list of servers was applied
-	forgottenRevision Revision // removals up to it may have been dropped
+	forgottenRevision Revision // removals up to it are not all known
 
 	servers    map[ServerID]*Server // the latest incarnation of each
 	byToken    map[token.Token]*Server
 	byService  map[string][]*Server       // active servers, unordered
-	byAddr     map[netip.AddrPort]*Server // published servers
+	byAddr     map[netip.AddrPort]*Server // the server published last with each address
 	generation uint64
 
 	asOf         time.Duration // time at which the store was not ahead of revision
@@ -177,9 +177,7 @@
 	wasLoaded := c.loaded
 	if ch.Full {
 		c.markMissing(now, ch, &result)
-		if !c.loaded {
-			c.loaded, c.forgottenRevision = true, ch.Revision
-		}
+		c.loaded, c.forgottenRevision = true, max(c.forgottenRevision, ch.Revision)
 	}
 	for i := range ch.Servers {
 		c.putServer(now, ch.Servers[i], &result)
@@ -241,14 +239,15 @@
 	c.config, c.routes = cfg, routes
 }
 
-// markMissing removes the published servers that a full list does not contain.
+// markMissing removes the published servers that a full list does not contain,
+// except those that were published after it.
 func (c *Catalog) markMissing(now time.Duration, ch *Change, result *ApplyResult) {
 	listed := make(map[ServerID]bool, len(ch.Servers))
 	for i := range ch.Servers {
 		listed[ch.Servers[i].ID] = true
 	}
 	for id, s := range c.servers {
-		if s.Published() && !listed[id] {
+		if s.Published() && s.Revision <= ch.Revision && !listed[id] {
 			c.removeServer(now, s, ch.Revision, result)
 		}
 	}
@@ -272,6 +271,7 @@
 		// Open flows refer to this record, so it is updated in place.
 		old.Service, old.Domain, old.Addr, old.Slots = entry.Service, entry.Domain, entry.Addr, entry.Slots
 		old.Draining, old.Revision, old.MissingSince = entry.Draining, entry.Revision, 0
+		old.left, old.addressTaken = false, false
 		result.Changed = append(result.Changed, old)
 		return
 	}
@@ -298,18 +298,15 @@
 // Active reports whether the server may receive new flows, unless it is
 // draining.
 func (c *Catalog) Active(s *Server) bool {
-	return c.servers[s.ID] == s && (s.Published() || c.inGracePeriod(s))
+	return c.servers[s.ID] == s && !s.addressTaken && (s.Published() || c.inGracePeriod(s))
 }
 
 // rebuildIndex rebuilds the lists of active servers by service.
 func (c *Catalog) rebuildIndex() {
 	c.generation++
+	c.findTakenAddresses()
 	clear(c.byService)
-	clear(c.byAddr)
 	for _, s := range c.servers {
-		if s.Published() {
-			c.byAddr[s.Addr] = s
-		}
 		// A server whose token identifies another one would lose its flows.
 		if c.Active(s) && c.byToken[s.Token] == s {
 			c.byService[s.Service] = append(c.byService[s.Service], s)
@@ -317,19 +314,28 @@
 	}
 }
 
+// findTakenAddresses marks the servers whose addresses other servers were
+// published with later. Addresses are only reused after their server has ended,
+// whose entry may not have expired yet.
+func (c *Catalog) findTakenAddresses() {
+	clear(c.byAddr)
+	for _, s := range c.servers {
+		if holder := c.byAddr[s.Addr]; holder == nil || s.Revision > holder.Revision {
+			c.byAddr[s.Addr] = s
+		}
+	}
+	for _, s := range c.servers {
+		if c.byAddr[s.Addr] != s {
+			s.addressTaken = true
+		}
+	}
+}
+
 // Ended reports whether the server has certainly ended: a later incarnation
 // replaced it, another server has its address, or it was draining and its entry
 // was removed from a healthy store.
 func (c *Catalog) Ended(s *Server) bool {
-	switch {
-	case c.servers[s.ID] != s:
-		return true
-	case s.Published():
-		return false
-	case c.byAddr[s.Addr] != nil:
-		return true
-	}
-	return s.left && c.Gone(s)
+	return c.servers[s.ID] != s || s.addressTaken || s.left && c.Gone(s)
 }
 
 // Gone reports whether the entry of the server has been missing from a healthy
--- a/core/catalog/share.go
+++ b/core/catalog/share.go
@@ -1,13 +1,10 @@
 package catalog
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Since returns the changes after a revision and a version, for a peer. The
-// change is full if removals after that revision may have been dropped.
+// change is full if not all removals after that revision are known: a full list
+// tells which servers are missing, but not since which revision.
 func (c *Catalog) Since(now time.Duration, after Revision, version Version) *Change {
 	ch := &Change{Revision: c.revision, Full: after < c.forgottenRevision}
 	if c.config != nil && c.config.Version > version {
@@ -34,47 +31,3 @@
 func (c *Catalog) Age(now time.Duration) (age, healthy time.Duration) {
 	return now - c.asOf, c.asOf - c.healthySince
 }
-
-// Split splits the change into parts of at most n servers and removals, except
-// that entries of one revision stay together. Parts are ordered by revision, and
-// each is complete up to its own. A full change, or one with a configuration, is
-// not split.
-func (c *Change) Split(n int) []*Change {
-	if c.Full || c.Config != nil || len(c.Servers)+len(c.Removed) <= n {
-		return []*Change{c}
-	}
-	type entry struct {
-		revision Revision
-		server   *Server
-		removal  *Removal
-	}
-	entries := make([]entry, 0, len(c.Servers)+len(c.Removed))
-	for i := range c.Servers {
-		entries = append(entries, entry{revision: c.Servers[i].Revision, server: &c.Servers[i]})
-	}
-	for i := range c.Removed {
-		entries = append(entries, entry{revision: c.Removed[i].Revision, removal: &c.Removed[i]})
-	}
-	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.revision, b.revision) })
-	var parts []*Change
-	for at := 0; at < len(entries); {
-		end := min(at+n, len(entries))
-		// Entries of one revision stay together. A full list that is applied
-		// after missed changes gives all removals the same revision.
-		for end < len(entries) && entries[end].revision == entries[end-1].revision {
-			end++
-		}
-		part := &Change{Revision: entries[end-1].revision}
-		for _, e := range entries[at:end] {
-			if e.server != nil {
-				part.Servers = append(part.Servers, *e.server)
-			} else {
-				part.Removed = append(part.Removed, *e.removal)
-			}
-		}
-		parts = append(parts, part)
-		at = end
-	}
-	parts[len(parts)-1].Revision = c.Revision
-	return parts
-}
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -45,6 +45,9 @@
 	// left is set if the server was draining when its entry was removed from a
 	// healthy store.
 	left bool
+	// addressTaken is set if another server was published later with the same
+	// address, which this server has therefore lost.
+	addressTaken bool
 	// removedRevision is the revision at which the entry was removed, valid while
 	// it is missing.
 	removedRevision Revision
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -168,32 +168,47 @@
 	return i.store.Revision(ctx)
 }
 
-// readSince applies the changes after a revision. It reports whether they reach
-// the revision that the store is known to have.
+// readSince applies the changes after a revision, which the store returns in one
+// or more parts. It reports whether they reach the revision that the store is
+// known to have.
 func (i *Instance) readSince(ctx context.Context, after, want catalog.Revision) bool {
-	ctx, cancel := i.withReadTimeout(ctx)
-	defer cancel()
-	at := i.clock.now()
-	ch, err := i.store.Since(ctx, after)
-	if err != nil {
-		i.log.Info("changes not read", "after", after, "error", err)
-		return false
-	}
-	if ch.Revision < want {
-		i.log.Warn("changes lag behind the store", "after", after, "got", ch.Revision, "want", want)
-		return false
+	for after < want {
+		at := i.clock.now()
+		ch, err := i.readPart(ctx, after)
+		if err != nil {
+			i.log.Info("changes not read", "after", after, "error", err)
+			return false
+		}
+		if ch.Revision <= after {
+			i.log.Warn("changes lag behind the store", "after", after, "got", ch.Revision, "want", want)
+			return false
+		}
+		i.applyPart(at, ch, ch.Revision >= want)
+		after = ch.Revision
 	}
-	i.applyFromStore(at, ch)
 	return true
 }
 
-// applyFromStore applies a change that was read from the store at the given time.
-func (i *Instance) applyFromStore(at time.Duration, ch *catalog.Change) {
+func (i *Instance) readPart(ctx context.Context, after catalog.Revision) (*catalog.Change, error) {
+	ctx, cancel := i.withReadTimeout(ctx)
+	defer cancel()
+	return i.store.Since(ctx, after)
+}
+
+// applyPart applies a part of the changes that was read from the store at the
+// given time. Only the last part makes the catalog current.
+func (i *Instance) applyPart(at time.Duration, ch *catalog.Change, last bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if !last {
+		at = i.catalog.AsOf()
+	}
 	i.applyChange(i.clock.now(), at, 0, ch, sourceName(netip.Addr{}))
 }
 
+// applyFromStore applies a change that was read from the store at the given time.
+func (i *Instance) applyFromStore(at time.Duration, ch *catalog.Change) { i.applyPart(at, ch, true) }
+
 // applyChange applies a change that was current at the time at, when the store had
 // been healthy for the given duration.
 func (i *Instance) applyChange(now, at, healthyFor time.Duration, ch *catalog.Change, from string) {
--- /dev/null
+++ b/node/edge/follow_test.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/settings/document"
+	"egrettack.example/settings/edge"
+)
+
+// manualClock is a clock that a test sets.
+type manualClock struct{ time time.Duration }
+
+func (c *manualClock) now() time.Duration  { return c.time }
+func (*manualClock) adjust() time.Duration { return 0 }
+
+// partStore returns changes in parts of a limited number of events.
+type partStore struct {
+	fakeStore
+	events   []catalog.Change // one event each
+	partSize int
+	parts    int // number of parts returned
+}
+
+func (s *partStore) Since(_ context.Context, after catalog.Revision) (*catalog.Change, error) {
+	s.parts++
+	ch := &catalog.Change{Revision: after}
+	for n, left := 0, s.partSize; n < len(s.events) && left > 0; n++ {
+		if e := s.events[n]; e.Revision > after {
+			ch.Servers, ch.Removed = append(ch.Servers, e.Servers...), append(ch.Removed, e.Removed...)
+			ch.Revision = e.Revision
+			left--
+		}
+	}
+	return ch, nil
+}
+
+// newIdleInstance returns an instance without sockets, whose goroutines do not run.
+func newIdleInstance(clk clock, store Store) *Instance {
+	return newInstance(Options{
+		Settings: &edge.Settings{
+			Name: "x", Domain: "a", Packets: netip.MustParseAddrPort("10.0.0.1:8172"), InternalPorts: []int{7720, 7735},
+			ApplyWithin: document.Duration{Duration: 3 * time.Second}, DrainWithin: document.Duration{Duration: 3 * time.Second},
+		},
+		Store: func(func(string, error)) Store { return store },
+		Log:   slog.New(slog.DiscardHandler), LogLevel: new(slog.LevelVar), LogLinesDropped: func() uint64 { return 0 }, Seed: 1,
+	}, clk)
+}
+
+// Guards against reading the whole catalog again, and against removals that get
+// lost, when the store returns the changes since an outage in parts.
+func TestChangesInParts(t *testing.T) {
+	g := NewWithT(t)
+	store := &partStore{partSize: 5}
+	first := &catalog.Change{Revision: 10, Full: true, Config: &catalog.Config{Version: 1}}
+	for id := catalog.ServerID(1); id <= 10; id++ {
+		first.Servers = append(first.Servers, catalog.Server{ID: id, Service: "feed", Domain: "a", Revision: catalog.Revision(id)})
+		store.events = append(store.events, catalog.Change{
+			Revision: 10 + catalog.Revision(id), Removed: []catalog.Removal{{ID: id, Revision: 10 + catalog.Revision(id)}},
+		})
+	}
+	store.events = append(store.events, catalog.Change{
+		Revision: 21, Servers: []catalog.Server{{ID: 3, Service: "feed", Domain: "a", Revision: 21}},
+	})
+	store.state = first
+	clk := &manualClock{time: time.Second}
+	i := newIdleInstance(clk, store)
+	g.Expect(i.read(context.Background())).To(Succeed())
+	reads := store.callCount()
+
+	clk.time = time.Minute
+	store.change(func(c *catalog.Change) { c.Revision = 20 })
+	g.Expect(i.read(context.Background())).To(Succeed())
+	g.Expect(store.callCount()-reads).To(Equal(1), "only the revision is read beside the parts")
+	g.Expect(store.parts).To(Equal(3))
+	g.Expect(i.catalog.Revision()).To(Equal(catalog.Revision(21)))
+	g.Expect(i.catalog.AsOf()).To(Equal(clk.time))
+	published := []catalog.ServerID{}
+	i.catalog.EachServer(func(s *catalog.Server) {
+		if s.Published() {
+			published = append(published, s.ID)
+		}
+	})
+	g.Expect(published).To(ConsistOf(catalog.ServerID(3)))
+}
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -48,7 +48,8 @@
 	Page(ctx context.Context, after string, stale bool) (ch *catalog.Change, next string, err error)
 	// RandomPosition returns a random position in the format of a known one.
 	RandomPosition(known string) string
-	// Since returns the changes after a revision.
+	// Since returns changes after a revision. There may be more after the revision
+	// of the result.
 	Since(ctx context.Context, after catalog.Revision) (*catalog.Change, error)
 	// Reconnect makes the next call open a new connection.
 	Reconnect()
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -102,17 +102,14 @@
 	}
 }
 
-// handleUpdate applies the update of a peer. A change that is too large for
-// datagrams, or of which a datagram was lost, is pulled.
+// handleUpdate applies the update of a peer. A change that is too large for a
+// datagram, or follows one that was lost, is pulled.
 func (i *Instance) handleUpdate(ctx context.Context, now time.Duration, from netip.Addr, m *wire.Message) {
 	// Earliest time at which the message can have been sent, however long it took
 	// to arrive.
 	sent := min(now, m.SentAt+m.SubscribeAge.Duration())
 	at := sent - m.Age.Duration()
 	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && c.After <= i.catalog.Revision() {
-		if c.Change.Revision < m.Revision {
-			at = i.catalog.AsOf() // further datagrams are needed to be current
-		}
 		i.applyChange(now, at, m.StoreHealthyFor.Duration(), c.Change, from.String())
 		return
 	}
@@ -164,9 +161,9 @@
 // Subscribe.
 const updateSampleSize = fleet.GossipSampleSize / 2
 
-// sendUpdate sends a follower the changes that it lacks, in one or more datagrams;
-// if there are none, it sends a sample of members. A change that is too large for
-// datagrams is left out, and the follower pulls it.
+// sendUpdate sends a follower the changes that it lacks; if there are none, it
+// sends a sample of members. A change that is too large for a datagram is left
+// out, and the follower pulls it.
 func (i *Instance) sendUpdate(now time.Duration, to netip.Addr, members int) {
 	if !i.catalog.Complete() {
 		return
@@ -187,31 +184,19 @@
 	i.peers.followers[to] = f
 }
 
-const (
-	// serversPerDatagram is the number of servers in one datagram; an entry takes 80
-	// to 130 bytes.
-	serversPerDatagram = 8
-	// maxChangeDatagrams limits the datagrams for one change; a call takes fewer
-	// bytes for a larger change.
-	maxChangeDatagrams = 8
-)
+// maxDatagramServers is the number of servers and removals above which a change
+// does not fit a datagram; an entry takes 80 to 130 bytes, a removal about 15.
+const maxDatagramServers = 64
 
-// sendChange sends the changes after a position in messages with the given header.
-// It reports whether they are complete, provided that no datagram is lost.
+// sendChange sends the changes after a position in a message with the given
+// header. It reports false if they do not fit a datagram.
 func (i *Instance) sendChange(now time.Duration, to netip.Addr, m *wire.Message, has position) bool {
-	parts := i.catalog.Since(now, has.revision, has.version).Split(serversPerDatagram)
-	if parts[0].Full || len(parts) > maxChangeDatagrams {
+	ch := i.catalog.Since(now, has.revision, has.version)
+	if ch.Full || len(ch.Servers)+len(ch.Removed) > maxDatagramServers {
 		return false
 	}
-	after := has.revision
-	for _, part := range parts {
-		m.Change = &wire.Change{After: after, Age: m.Age, StoreHealthyFor: m.StoreHealthyFor, Change: part}
-		if !i.sendToPeer(to, m) {
-			return false
-		}
-		after = part.Revision
-	}
-	return true
+	m.Change = &wire.Change{After: has.revision, Age: m.Age, StoreHealthyFor: m.StoreHealthyFor, Change: ch}
+	return i.sendToPeer(to, m)
 }
 
 // updateFollowers tells all followers how current this instance is, if it has
