Limit calls to the store by silence instead of by time

Cause: a configuration of 1,205 routes is one item of about 320 KB. Each attempt began at byte 0. The instance then took the store for lost, which spread to its followers.

Change: node/progress limits the time in which nothing arrives; the client of the store reports each part of an answer. A call may take 11 s in all.

What is left at the restart of all is the transfer of 600 KB to each of 352 instances, and the calls come from instances that read for themselves while the store is away.

--- a/cmd/egrettack-edge/main.go
+++ b/cmd/egrettack-edge/main.go
@@ -60,8 +60,8 @@
 	i, err := instance.New(instance.Options{
 		Settings: s,
 		Packets:  platform.NewPacketCodec(s.Packets.Port()),
-		Store: func(calls func(string, error)) instance.Store {
-			return platform.NewStore(s.Store, log, calls)
+		Store: func(h instance.StoreHooks) instance.Store {
+			return platform.NewStore(s.Store, log, platform.Hooks(h))
 		},
 		Log: log, LogLevel: level, LogLinesDropped: out.Dropped, Seed: rand.Uint64(),
 	})
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egrettack.example/core/catalog"
+	"egrettack.example/node/progress"
 )
 
 const (
@@ -21,11 +22,15 @@
 	// that count as one span: a follower's read after its source fell silent, and a
 	// retry.
 	readGapFraction = 0.8
-	// readTimeout limits one call to the store, and so does timeoutFraction of the
-	// time within which changes have to be in force; the shorter one holds. A slow
-	// store answers within 300 ms.
-	readTimeout     = 700 * time.Millisecond
-	timeoutFraction = 0.25
+	// storeSilence limits the time in which nothing of the answer to a call to the
+	// store arrives, and so does silenceFraction of the time within which changes
+	// have to be in force; the shorter one holds. A slow store begins its answer
+	// within 300 ms.
+	storeSilence    = 700 * time.Millisecond
+	silenceFraction = 0.25
+	// maxReadTime limits one call to the store in all. It is the time of the largest
+	// page, 1.4 MB, on a link of 1 Mbit/s.
+	maxReadTime = 11 * time.Second
 	// firstRetryPause and maxRetryPause bound the pauses after failed reads, which
 	// double with each failure.
 	firstRetryPause = 100 * time.Millisecond
@@ -154,18 +159,30 @@
 	return i.readAll(ctx)
 }
 
-// withReadTimeout returns a context with the time limit of one call to the store.
-func (i *Instance) withReadTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+// withReadLimit returns a context with the limits of one call to the store.
+func (i *Instance) withReadLimit(ctx context.Context) (context.Context, context.CancelFunc) {
 	i.mu.Lock()
 	within := i.settings.CurrentWithin()
 	i.mu.Unlock()
-	return context.WithTimeout(ctx, min(readTimeout, fractionOf(within, timeoutFraction)))
+	return withLimits(ctx, min(storeSilence, fractionOf(within, silenceFraction)))
+}
+
+// withLimits returns a context that ends after maxReadTime, and when nothing
+// arrives for the given time.
+func withLimits(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
+	ctx, stop := progress.WithLimit(ctx, silence)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 func (i *Instance) readRevision(ctx context.Context) (catalog.Revision, error) {
-	ctx, cancel := i.withReadTimeout(ctx)
+	ctx, cancel := i.withReadLimit(ctx)
 	defer cancel()
-	return i.store.Revision(ctx)
+	rev, err := i.store.Revision(ctx)
+	return rev, progress.Cause(ctx, err)
 }
 
 // readSince applies the changes after a revision, which the store returns in one
@@ -190,9 +207,10 @@
 }
 
 func (i *Instance) readPart(ctx context.Context, after catalog.Revision) (*catalog.Change, error) {
-	ctx, cancel := i.withReadTimeout(ctx)
+	ctx, cancel := i.withReadLimit(ctx)
 	defer cancel()
-	return i.store.Since(ctx, after)
+	ch, err := i.store.Since(ctx, after)
+	return ch, progress.Cause(ctx, err)
 }
 
 // applyPart applies a part of the changes that was read from the store at the
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -20,6 +20,7 @@
 	"egrettack.example/core/fleet"
 	"egrettack.example/core/steer"
 	"egrettack.example/node/logging"
+	"egrettack.example/node/progress"
 	"egrettack.example/settings/edge"
 )
 
@@ -57,17 +58,21 @@
 
 // Options are the parameters of an instance.
 type Options struct {
-	Settings *edge.Settings
-	Packets  Packets
-	// Store returns the client of the store. The client reports each call that it
-	// makes, with its error, to calls.
-	Store           func(calls func(kind string, err error)) Store
+	Settings        *edge.Settings
+	Packets         Packets
+	Store           func(StoreHooks) Store // returns the client of the store
 	Log             *slog.Logger
 	LogLevel        *slog.LevelVar // level of Log
 	LogLinesDropped func() uint64  // returns the number of log lines dropped since the start
 	Seed            uint64         // seed of the random choices
 }
 
+// StoreHooks are functions that the client of the store invokes.
+type StoreHooks struct {
+	Call func(kind string, err error) // after each call, with its kind and result
+	Data func(ctx context.Context)    // when a part of an answer has arrived, with the context of the call
+}
+
 // Instance is a running instance.
 type Instance struct {
 	packets Packets
@@ -125,7 +130,7 @@
 		packetLogLimiter: logging.NewLimiter(packetLinesPerSecond),
 	}
 	i.metrics = newMetrics(i, o.LogLinesDropped)
-	i.store = o.Store(i.metrics.countStoreCall)
+	i.store = o.Store(StoreHooks{Call: i.metrics.countStoreCall, Data: progress.Report})
 	i.peers = peers{
 		port:        uint16(s.InternalPorts[0]),
 		followers:   make(map[netip.Addr]follower),
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -9,13 +9,15 @@
 	"github.com/gravitational/trace"
 
 	"egrettack.example/core/catalog"
+	"egrettack.example/node/progress"
 )
 
 const (
-	// pageTimeout limits the first attempt to read a page and doubles with each
-	// further attempt: the link of the store is busy for 3 s when a fleet of 300
-	// instances starts at once with 3,000 servers. A slow store answers within 300 ms.
-	pageTimeout = 500 * time.Millisecond
+	// pageSilence limits the time in which nothing of a page arrives. It doubles with
+	// each further attempt: the link of the store is busy for 3 s when a fleet of
+	// 300 instances starts at once with 3,000 servers. A slow store begins its answer
+	// within 300 ms.
+	pageSilence = 500 * time.Millisecond
 	// firstPageTimeout is how long after the start the first page may be missing
 	// before the catalog is pulled from a peer that has it.
 	firstPageTimeout = 300 * time.Millisecond
@@ -100,8 +102,9 @@
 			pause *= 2
 			i.store.Reconnect()
 		}
-		call, cancel := context.WithTimeout(ctx, pageTimeout<<try)
+		call, cancel := withLimits(ctx, pageSilence<<try)
 		ch, next, err = i.store.Page(call, after, stale)
+		err = progress.Cause(call, err)
 		cancel()
 		if err == nil {
 			return ch, next, nil
