Bound the reads of a lost store by domain, let knowledge flow both ways

Cause: a member whose read failed told its followers that it cannot reach the store and ranked behind all others, although the store was away for all.

Ruled out: a cap on the calls of each member, since the members of the fleet would still all try.

Change: a member counts as refused only if its read fails after others have read the store since its last failure; only then it ranks behind. While its source is alive and reports the store as lost, a member reads in turn: four reads a second in a domain, beside the two members that probe. What a member reads flows against the direction of the tree as well: it subscribes to its source with the age of what it has, and a source that is behind subscribes in return. Updates that bring no change are at least 200 ms apart.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -58,6 +58,9 @@
 	// store that does not answer. There are two, since the store may be
 	// unreachable for one of them alone.
 	probersPerDomain = 2
+	// sourceHeardWithin is the time since the last message of a source after which
+	// it is not relied on. It allows for one lost update.
+	sourceHeardWithin = 2 * SubscribeInterval
 	// GossipSampleSize is the number of members that one message lists, and
 	// sameDomainSampleSize the number of these in the receiver's domain, which
 	// determine its place in the tree.
@@ -85,6 +88,8 @@
 	followerUntil         time.Duration // end of its follower lease
 	storeUnreachableUntil time.Duration // ranks as unable to reach the store until then
 	unansweredSince       time.Duration // time of the first unanswered subscribe message, 0 if none
+	lastMessage           time.Duration // when this instance last got a message of it
+	storeLost             bool          // by that message the store answers neither it nor its sources
 }
 
 // Fleet is one instance's view of the members of the fleet. It is not safe for
@@ -95,7 +100,7 @@
 	ranked           []*Member // all except self, by rank
 	seeds            []netip.Addr
 	source           netip.Addr    // the zero Addr while the instance reads the store
-	storeUnreachable bool          // the store does not answer this instance
+	storeUnreachable bool          // the store does not answer this instance, but others
 	lastGossip       time.Duration // 0 before the first
 	lastSubscribe    time.Duration // 0 if none was sent since the source changed
 
@@ -158,11 +163,39 @@
 	if m == nil {
 		return false
 	}
-	m.unansweredSince, m.avoidUntil = 0, 0
+	m.unansweredSince, m.avoidUntil, m.lastMessage = 0, 0, now
 	return !known
 }
 
-// SetStoreUnreachable records whether a member reports the store as unreachable.
+// SetStoreLost records whether a member reports that the store answers neither
+// it nor the members that it follows.
+func (f *Fleet) SetStoreLost(addr netip.Addr, lost bool) {
+	if m := f.members[addr]; m != nil {
+		m.storeLost = lost
+	}
+}
+
+// SourceLostStore reports whether the source reported lately that the store
+// answers neither it nor the members that it follows.
+func (f *Fleet) SourceLostStore(now time.Duration) bool {
+	m := f.members[f.source]
+	return m != nil && m.storeLost && now-m.lastMessage <= sourceHeardWithin
+}
+
+// DomainSize returns the number of known members of the instance's own domain,
+// including itself.
+func (f *Fleet) DomainSize() int {
+	n := 1
+	for _, m := range f.ranked {
+		if m.Domain == f.self.Domain {
+			n++
+		}
+	}
+	return n
+}
+
+// SetStoreUnreachable records whether a member reports that it cannot reach the
+// store while others can.
 func (f *Fleet) SetStoreUnreachable(now time.Duration, addr netip.Addr, unreachable bool) {
 	m := f.members[addr]
 	switch {
@@ -246,11 +279,17 @@
 	GossipTo    []netip.Addr // members to send gossip to
 }
 
-// Tick updates the source and returns the messages that are due. If the store is
-// unreachable for this instance, it ranks behind the members that reach the
-// store; if nobody ranks before it, it subscribes to random members.
-func (f *Fleet) Tick(now time.Duration, storeUnreachable bool) Plan {
-	f.storeUnreachable = storeUnreachable
+// StoreAccess is what a member knows of its access to the store.
+type StoreAccess struct {
+	Lost        bool // the last read failed
+	Unreachable bool // the store does not answer this member, but others
+}
+
+// Tick updates the source and returns the messages that are due. A member that
+// alone cannot reach the store ranks behind those that can. One that has lost the
+// store and has no source subscribes to random members.
+func (f *Fleet) Tick(now time.Duration, store StoreAccess) Plan {
+	f.storeUnreachable = store.Unreachable
 	f.expire(now)
 	if m := f.members[f.source]; m != nil && m.unansweredSince > 0 && now-m.unansweredSince > sourceTimeout {
 		m.avoidUntil, m.unansweredSince = now+sourceCooldown, 0
@@ -265,7 +304,7 @@
 			m.unansweredSince = now
 		}
 	}
-	if storeUnreachable && !f.source.IsValid() && len(f.ranked) > 0 && now-f.lastSubscribe >= storeLostInterval {
+	if store.Lost && !f.source.IsValid() && len(f.ranked) > 0 && now-f.lastSubscribe >= storeLostInterval {
 		p.SubscribeTo, f.lastSubscribe = f.ranked[f.random.IntN(len(f.ranked))].Addr, now
 	}
 	if f.lastGossip == 0 || now-f.lastGossip >= f.nextGossipInterval() {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -40,7 +40,7 @@
 			followers := map[netip.Addr]int{}
 			readers := 0
 			for _, f := range all {
-				f.Tick(time.Second, false)
+				f.Tick(time.Second, StoreAccess{})
 				if !f.Source().IsValid() {
 					readers++
 				}
@@ -69,14 +69,14 @@
 	g := NewWithT(t)
 	var f *Fleet
 	for _, x := range connectedFleets(4, 1) {
-		x.Tick(time.Second, false)
+		x.Tick(time.Second, StoreAccess{})
 		if x.Source().IsValid() {
 			f = x
 		}
 	}
 	dead := f.Source()
 	now := time.Second
-	f.Tick(now, false)
+	f.Tick(now, StoreAccess{})
 	for f.Source() == dead {
 		now += 100 * time.Millisecond
 		for m := range f.members {
@@ -84,12 +84,12 @@
 				f.RecordMessage(now, m, "d0")
 			}
 		}
-		f.Tick(now, false)
+		f.Tick(now, StoreAccess{})
 		g.Expect(now).To(BeNumerically("<", time.Second+sourceTimeout+300*time.Millisecond))
 	}
 	// After a message from the former source, it is selected again.
 	f.RecordMessage(now, dead, "d0")
-	f.Tick(now, false)
+	f.Tick(now, StoreAccess{})
 	g.Expect(f.Source()).To(Equal(dead))
 }
 
@@ -98,12 +98,12 @@
 func TestFirstMemberAsksOthersWhenStoreIsUnreachable(t *testing.T) {
 	g := NewWithT(t)
 	for _, f := range connectedFleets(5, 2) {
-		f.Tick(time.Second, false)
+		f.Tick(time.Second, StoreAccess{})
 		if f.Source().IsValid() {
 			continue
 		}
-		g.Expect(f.Tick(2*time.Second, false).SubscribeTo.IsValid()).To(BeFalse())
-		g.Expect(f.Tick(3*time.Second, true).SubscribeTo.IsValid()).To(BeTrue())
+		g.Expect(f.Tick(2*time.Second, StoreAccess{}).SubscribeTo.IsValid()).To(BeFalse())
+		g.Expect(f.Tick(3*time.Second, StoreAccess{Lost: true}).SubscribeTo.IsValid()).To(BeTrue())
 	}
 }
 
@@ -115,7 +115,7 @@
 	now := time.Second
 	var first, next netip.Addr
 	for a, f := range all {
-		if f.Tick(now, false); !f.Source().IsValid() {
+		if f.Tick(now, StoreAccess{}); !f.Source().IsValid() {
 			first = a
 		}
 	}
@@ -124,7 +124,7 @@
 	}
 	readers := 0
 	for a, f := range all {
-		if f.Tick(now, a == first); !f.Source().IsValid() {
+		if f.Tick(now, StoreAccess{Lost: a == first, Unreachable: a == first}); !f.Source().IsValid() {
 			next = a
 			readers++
 		}
@@ -134,11 +134,11 @@
 	// It ranks first again when its report expires or it reports the store as
 	// reachable.
 	f := all[next]
-	f.Tick(now+storeUnreachableTTL, false)
+	f.Tick(now+storeUnreachableTTL, StoreAccess{})
 	g.Expect(f.Source()).To(Equal(first))
 	f.SetStoreUnreachable(now, first, true)
 	f.SetStoreUnreachable(now, first, false)
-	f.Tick(now, false)
+	f.Tick(now, StoreAccess{})
 	g.Expect(f.Source()).To(Equal(first))
 }
 
@@ -150,7 +150,7 @@
 	now := time.Second
 	before := make(map[netip.Addr]netip.Addr)
 	for a, f := range all {
-		f.Tick(now, false)
+		f.Tick(now, StoreAccess{})
 		before[a] = f.Source()
 		for b := range all {
 			f.SetStoreUnreachable(now, b, true)
@@ -158,7 +158,7 @@
 	}
 	probers := make(map[string]int)
 	for a, f := range all {
-		f.Tick(now, true)
+		f.Tick(now, StoreAccess{Lost: true, Unreachable: true})
 		g.Expect(f.Source()).To(Equal(before[a]))
 		if f.ProbesStore(now) {
 			probers[f.self.Domain]++
@@ -173,7 +173,7 @@
 	g := NewWithT(t)
 	f := New(addr(1), "a", 1)
 	f.SetSeeds([]netip.Addr{addr(1), addr(50), addr(2)})
-	p := f.Tick(time.Second, false)
+	p := f.Tick(time.Second, StoreAccess{})
 	g.Expect(p.GossipTo).To(ConsistOf(addr(50), addr(2)), "an instance does not gossip to itself")
 	g.Expect(f.RecordMessage(time.Second, addr(2), "a")).To(BeTrue(), "an unknown member gets gossip in return")
 	g.Expect(f.RecordMessage(time.Second, addr(2), "a")).To(BeFalse())
@@ -187,7 +187,7 @@
 	g := NewWithT(t)
 	f := New(addr(1), "a", 1)
 	f.RecordMessage(time.Second, addr(2), "a")
-	f.Tick(time.Second+memberTTL+1, false)
+	f.Tick(time.Second+memberTTL+1, StoreAccess{})
 	g.Expect(f.Size()).To(Equal(1))
 	f.RecordGossip(time.Minute, addr(2), "a", memberTTL)
 	g.Expect(f.Size()).To(Equal(1))
@@ -222,7 +222,7 @@
 			if a != b {
 				fleets[a].RecordMessage(now, addr(b), fmt.Sprint("d", b%3))
 			}
-			fleets[a].Tick(now, false)
+			fleets[a].Tick(now, StoreAccess{})
 		}
 		for i := range n {
 			at, hops := fleets[i], 0
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -15,6 +15,7 @@
 	// probes the store reads it when its knowledge is older than probeFraction,
 	// which leaves time for two failed reads. The others wait for followFraction,
 	// which leaves the probers time to update them, and themselves time for one read.
+	// While their sources have lost the store as well, they read in turn.
 	readFraction   = 0.25
 	probeFraction  = 0.45
 	followFraction = 0.6
@@ -35,6 +36,9 @@
 	// double with each failure.
 	firstRetryPause = 100 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
+	// backupReadsPerSecond is the average number of reads of the members of a domain
+	// in a second, those that probe the store apart, while it is lost.
+	backupReadsPerSecond = 4
 	// minReadPause is the shortest pause between reads.
 	minReadPause = 200 * time.Millisecond
 	// minFollowPause and maxFollowPause bound the pause between two checks of the age
@@ -61,15 +65,16 @@
 type readState struct {
 	notBefore  time.Duration // time before which there is no read
 	retryPause time.Duration // last pause after a failed read, 0 after a successful one
+	backupAt   time.Duration // time of the next read while the store is lost, 0 if none was drawn
 }
 
 // readWhenDue reads the store if a read is due, and returns the time to wait
 // until the next check.
 func (i *Instance) readWhenDue(ctx context.Context, r *readState) time.Duration {
-	due := max(r.notBefore, i.readDue())
+	due := i.readDue(r)
 	if i.clock.now() >= due {
 		i.readOnce(ctx, r)
-		due = max(r.notBefore, i.readDue())
+		due = i.readDue(r)
 	}
 	return min(max(due-i.clock.now(), minFollowPause), maxFollowPause)
 }
@@ -77,15 +82,15 @@
 func (i *Instance) readOnce(ctx context.Context, r *readState) {
 	began := i.clock.now()
 	err := i.read(ctx)
-	i.recordStoreResult(err)
+	i.recordStoreResult(began, err)
 	pause := minReadPause
+	r.backupAt = 0
 	if err == nil {
 		r.retryPause = 0
 		i.metrics.storeReads.Observe((i.clock.now() - began).Seconds())
 	} else {
 		i.store.Reconnect()
-		first, longest := i.retryPause()
-		r.retryPause = min(max(2*r.retryPause, first), longest)
+		r.retryPause = min(max(2*r.retryPause, firstRetryPause), maxRetryPause)
 		pause = r.retryPause
 	}
 	// The jitter spreads the reads of instances that lost the store at the same
@@ -93,34 +98,43 @@
 	r.notBefore = i.clock.now() + pause + time.Duration(i.random.Int64N(int64(pause/4)+1))
 }
 
-// retryPause returns the first and the longest pause between reads of a store
-// that does not answer. An instance that does not probe the store pauses longer:
-// others of its domain probe it and report its recovery.
-func (i *Instance) retryPause() (first, longest time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if !i.catalog.Loaded() || i.peers.fleet.ProbesStore(i.clock.now()) {
-		return firstRetryPause, maxRetryPause
-	}
-	return i.settings.CurrentWithin() / 2, 3 * i.settings.CurrentWithin()
-}
-
 // readDue returns the time of the next read of the store, which depends on whether
 // the instance has a source and whether it probes the store.
-func (i *Instance) readDue() time.Duration {
+func (i *Instance) readDue(r *readState) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.catalog.Loaded() {
-		return 0
+		return r.notBefore
+	}
+	now, asOf := i.clock.now(), i.catalog.AsOf()
+	hasSource, probes := i.peers.fleet.Source().IsValid(), i.peers.fleet.ProbesStore(now)
+	if (!hasSource || probes) && i.state.store.mayBeBack(now, asOf) {
+		return r.notBefore
 	}
 	share := followFraction
 	switch {
-	case !i.peers.fleet.Source().IsValid():
+	case !hasSource:
 		share = readFraction
-	case i.peers.fleet.ProbesStore(i.clock.now()):
+	case probes:
 		share = probeFraction
 	}
-	return i.catalog.AsOf() + fractionOf(i.settings.CurrentWithin(), share)
+	due := max(r.notBefore, asOf+fractionOf(i.settings.CurrentWithin(), share))
+	inTurn := hasSource && !probes && i.peers.fleet.SourceLostStore(now)
+	if !inTurn || now < due {
+		r.backupAt = 0
+		return due
+	}
+	if r.backupAt == 0 {
+		r.backupAt = now + i.drawBackupPause()
+	}
+	return r.backupAt
+}
+
+// drawBackupPause draws the time until the next read of this instance while the
+// store is lost, so that its domain makes backupReadsPerSecond.
+func (i *Instance) drawBackupPause() time.Duration {
+	mean := float64(i.peers.fleet.DomainSize()) / backupReadsPerSecond
+	return time.Duration(i.random.ExpFloat64() * mean * float64(time.Second))
 }
 
 func fractionOf(d time.Duration, share float64) time.Duration {
@@ -148,6 +162,7 @@
 		now := i.clock.now()
 		i.retryHeld(now)
 		i.updateFollowers(now)
+		i.informSource(now, netip.Addr{})
 	}
 	i.mu.Unlock()
 	if current {
@@ -221,7 +236,9 @@
 	if !last {
 		at = i.catalog.AsOf()
 	}
-	i.applyChange(i.clock.now(), at, 0, ch, sourceName(netip.Addr{}))
+	now := i.clock.now()
+	i.applyChange(now, at, 0, ch, sourceName(netip.Addr{}))
+	i.informSource(now, netip.Addr{})
 }
 
 // applyFromStore applies a change that was read from the store at the given time.
@@ -279,27 +296,3 @@
 		i.log.Info("server removed", "server", s.Name, "revision", ch.Revision, "from", from, "age", age)
 	}
 }
-
-// recordStoreResult records whether the store answered, and logs when it is lost or
-// regained.
-func (i *Instance) recordStoreResult(err error) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	now, was, lost := i.clock.now(), i.state.storeLost, err != nil
-	i.state.storeLost = lost
-	if lost {
-		i.state.storeLostAt = now
-	}
-	switch {
-	case lost == was:
-		return
-	case lost:
-		i.log.Warn("store lost", "error", err, "revision", i.catalog.Revision(), "age", now-i.catalog.AsOf())
-	default:
-		i.log.Info("store regained", "revision", i.catalog.Revision())
-	}
-	// Followers choose another source when theirs cannot reach the store.
-	for _, a := range i.peers.fleet.Followers(now) {
-		i.sendUpdate(now, a, 0)
-	}
-}
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -102,6 +102,7 @@
 			pause *= 2
 			i.store.Reconnect()
 		}
+		began := i.clock.now()
 		call, cancel := withLimits(ctx, pageSilence<<try, maxReadTime)
 		ch, next, err = i.store.Page(call, after, stale)
 		err = progress.Cause(call, err)
@@ -109,7 +110,7 @@
 		if err == nil {
 			return ch, next, nil
 		}
-		i.recordStoreResult(err)
+		i.recordStoreResult(began, err)
 	}
 	return nil, "", trace.Wrap(err, "read store page after position %q, %d attempts", after, maxPageTries)
 }
--- a/node/edge/operators.go
+++ b/node/edge/operators.go
@@ -84,7 +84,7 @@
 		Name: i.settings.Name, Domain: i.settings.Domain, NotReady: notReady,
 		Version: i.catalog.Version(), Revision: i.catalog.Revision(), AgeMS: age.Milliseconds(),
 		Flows: i.engine.FlowCount(), HeldPackets: len(i.held.packets),
-		Source: sourceName(i.peers.fleet.Source()), StoreLost: i.state.storeLost,
+		Source: sourceName(i.peers.fleet.Source()), StoreLost: i.state.store.lost,
 	}
 	if c := i.catalog.Config(); c != nil {
 		s.Routes = len(c.Routes)
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -27,19 +27,9 @@
 
 // state is the state of the instance besides the catalog, guarded by mu.
 type state struct {
-	stopping    bool
-	storeLost   bool          // the last read of the store failed
-	storeLostAt time.Duration // time of the last failed read
-	lastPacket  time.Duration
-}
-
-// storeLostFor is how long after a failed read the instance reports the store as
-// unreachable. It does not read while others send it changes, so it would not
-// notice the recovery otherwise.
-const storeLostFor = 10 * time.Second
-
-func (s *state) storeUnreachable(now time.Duration) bool {
-	return s.storeLost && now-s.storeLostAt < storeLostFor
+	stopping   bool
+	store      storeState
+	lastPacket time.Duration
 }
 
 // notReady returns why the instance should not get packets, "" if it should.
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -30,9 +30,15 @@
 	// needsWholeConfig is set while a difference of the configuration did not fit.
 	needsWholeConfig bool
 
-	updatedAsOf time.Duration // age reference of the last update to all followers
+	updatedAt   time.Duration // time of the last update to all followers
+	updatedAsOf time.Duration // its age reference
 	updatedTo   position
 	reportedAt  time.Duration // time of the last outlier reports
+	sourceAsOf  time.Duration // age reference of the last update of the source
+	askedAt     time.Duration // time of the last request to a follower
+	informedAt  time.Duration // time of the last information for the source
+	// reportedStoreLost is set while the followers know that the store is lost by all.
+	reportedStoreLost bool
 }
 
 // position is the revision and the version that an instance has reached.
@@ -102,6 +108,8 @@
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
 	i.peers.fleet.SetStoreUnreachable(now, from, m.StoreUnreachable)
+	i.peers.fleet.SetStoreLost(from, m.StoreLost)
+	i.reportStoreLost(now)
 	for _, x := range m.Members {
 		i.peers.fleet.RecordGossip(now, netip.AddrFrom4(x.Addr), m.Domains[x.Domain], x.Age.Duration())
 	}
@@ -110,8 +118,10 @@
 		i.peers.fleet.RenewFollower(now, from)
 		i.peers.followers[from] = follower{position{m.Revision, m.Version}, m.SentAt, now, m.TakesDiffs}
 		i.sendUpdate(now, from, updateSampleSize)
+		i.askFollower(now, from, m)
 	case wire.Update:
 		i.handleUpdate(ctx, now, from, m)
+		i.informSource(now, from)
 	case wire.OutlierReport:
 		i.handleOutlierReport(now, m)
 	}
@@ -146,7 +156,7 @@
 // fleet less than complete catalogs from members with slow links.
 func (i *Instance) mayPull(now time.Duration) bool {
 	late := i.catalog.Config() == nil && now > firstPageTimeout
-	return i.catalog.Loaded() || i.state.storeLost || late
+	return i.catalog.Loaded() || i.state.store.lost || late
 }
 
 // pullChanges fetches the changes that a peer has and this instance lacks.
@@ -224,15 +234,20 @@
 	return i.sendToPeer(to, m)
 }
 
+// minUpdateInterval is the shortest interval between updates of the followers that
+// bring no changes. It bounds the messages when several members read the store at
+// the same time.
+const minUpdateInterval = 200 * time.Millisecond
+
 // updateFollowers tells all followers how current this instance is, if it has
 // become more current since the last time. Knowledge ages on its way, so that two
 // members that follow each other do not repeat the same updates without end.
 func (i *Instance) updateFollowers(now time.Duration) {
 	asOf, have := i.catalog.AsOf(), i.position()
-	if asOf <= i.peers.updatedAsOf && have == i.peers.updatedTo {
+	if have == i.peers.updatedTo && (asOf <= i.peers.updatedAsOf || now-i.peers.updatedAt < minUpdateInterval) {
 		return
 	}
-	i.peers.updatedAsOf, i.peers.updatedTo = asOf, have
+	i.peers.updatedAt, i.peers.updatedAsOf, i.peers.updatedTo = now, asOf, have
 	for _, a := range i.peers.fleet.Followers(now) {
 		i.sendUpdate(now, a, 0)
 	}
@@ -241,7 +256,8 @@
 // sendToPeer sends a message to a peer. It reports whether the message fits a
 // datagram.
 func (i *Instance) sendToPeer(to netip.Addr, m *wire.Message) bool {
-	m.StoreUnreachable = i.state.storeUnreachable(i.clock.now())
+	now := i.clock.now()
+	m.StoreUnreachable, m.StoreLost = i.storeAccess(now).Unreachable, i.storeLostByAll(now)
 	b, err := wire.Encode(m)
 	if err != nil {
 		i.log.Error("peer message not encoded", "peer", to, "error", err)
@@ -259,23 +275,74 @@
 
 // tickPeers sends the messages that are due.
 func (i *Instance) tickPeers(now time.Duration) {
+	if i.catalog.Complete() {
+		i.updateFollowers(now)
+	}
 	p := i.updateSource(now)
 	if p.SubscribeTo.IsValid() {
-		have := i.requestPosition()
-		m := i.memberMessage(now, wire.Subscribe, p.SubscribeTo)
-		m.Revision, m.Version, m.SentAt, m.TakesDiffs = have.revision, have.version, now, true
-		i.sendToPeer(p.SubscribeTo, m)
+		i.subscribe(now, p.SubscribeTo)
 	}
 	for _, a := range p.GossipTo {
 		i.sendToPeer(a, i.memberMessage(now, wire.Gossip, a))
 	}
 }
 
+// subscribe requests changes from a peer and tells it how current this instance
+// is.
+func (i *Instance) subscribe(now time.Duration, to netip.Addr) {
+	have := i.requestPosition()
+	m := i.memberMessage(now, wire.Subscribe, to)
+	m.Revision, m.Version, m.SentAt, m.TakesDiffs = have.revision, have.version, now, true
+	if i.catalog.Loaded() {
+		age, _ := i.catalog.Age(now)
+		m.Age = wire.CeilMillis(age)
+	}
+	i.sendToPeer(to, m)
+}
+
+// askInterval is the shortest interval between messages against the direction of
+// the tree: a request to a follower that is more current, and information for the
+// source.
+const askInterval = 200 * time.Millisecond
+
+// askFollower subscribes to a follower that is more current than this instance:
+// it has read the store while this instance or its sources could not.
+func (i *Instance) askFollower(now time.Duration, from netip.Addr, m *wire.Message) {
+	if !i.catalog.Loaded() || m.Revision == 0 || now-i.peers.askedAt < askInterval {
+		return
+	}
+	if ahead := now - m.Age.Duration() - i.catalog.AsOf(); ahead > i.staleness() {
+		i.peers.askedAt = now
+		i.subscribe(now, from)
+	}
+}
+
+// informSource tells the source when this instance has become more current than
+// the source by a message of another peer or a read of the store.
+func (i *Instance) informSource(now time.Duration, from netip.Addr) {
+	source := i.peers.fleet.Source()
+	if from == source {
+		i.peers.sourceAsOf = i.catalog.AsOf()
+		return
+	}
+	if source.IsValid() && now-i.peers.informedAt >= askInterval && i.catalog.AsOf()-i.peers.sourceAsOf > i.staleness() {
+		i.peers.informedAt = now
+		i.subscribe(now, source)
+	}
+}
+
+// staleness is the difference in age between two instances that is not due to the
+// interval of reads.
+func (i *Instance) staleness() time.Duration {
+	return fractionOf(i.settings.CurrentWithin(), readFraction)
+}
+
 // updateSource lets the fleet choose the source again and logs a change of it.
 func (i *Instance) updateSource(now time.Duration) fleet.Plan {
 	before := i.peers.fleet.Source()
-	p := i.peers.fleet.Tick(now, i.state.storeUnreachable(now))
+	p := i.peers.fleet.Tick(now, i.storeAccess(now))
 	if after := i.peers.fleet.Source(); after != before {
+		i.peers.sourceAsOf = i.catalog.AsOf()
 		i.log.Info("source", "peer", sourceName(after), "before", sourceName(before), "members", i.peers.fleet.Size())
 	}
 	return p
--- a/node/edge/simulation_test.go
+++ b/node/edge/simulation_test.go
@@ -67,6 +67,8 @@
 	uplink, downlink         simulatedLink
 	coroutines               []func() // functions that end the coroutines
 	storeCalls               int
+	source                   netip.Addr // as of the last event
+	sourceChanges            int
 	sentBytes, receivedBytes int           // bytes of datagrams, headers included
 	second                   time.Duration // start of the second that sentInSecond refers to
 	sentInSecond             int
@@ -418,6 +420,10 @@
 		m.sim.failf("at %s: %s went from version %d and revision %d back to %d and %d", m.sim.now, m.addr, m.version, m.revision, v, r)
 	}
 	m.version, m.revision = v, r
+	if source := m.peers.fleet.Source(); source != m.source {
+		m.source = source
+		m.sourceChanges++
+	}
 	if m.sim.now > max(m.faultUntil, m.sim.storeAwayUntil)+recoveryTime && v < m.sim.dueVersion() {
 		age, _ := m.catalog.Age(m.clock.now())
 		m.sim.failf("at %s: %s has version %d of age %s, want at least %d; its source is %s", m.sim.now, m.addr, v, age, m.sim.dueVersion(), m.peers.fleet.Source())
@@ -477,8 +483,17 @@
 	return n
 }
 
+// totalSourceChanges returns how often members changed their source so far.
+func (w *simulation) totalSourceChanges() (n int) {
+	for _, m := range w.members {
+		n += m.sourceChanges
+	}
+	return n
+}
+
 // Guards against store calls that grow with the size of the fleet, in normal
-// operation and when the reader of the fleet or most members lose the store.
+// operation and when the reader of the fleet, most members or all lose the store,
+// and against members that go from source to source when none can help.
 func TestCallsToTheStore(t *testing.T) {
 	const lasts = 10 * time.Second
 	for _, n := range []int{8, 85, 420} {
@@ -512,10 +527,15 @@
 				m.storeCut = false
 			}
 			w.run(lasts)
-			// Each member reads when its knowledge is old and twice after that; two
-			// of each domain go on probing at an interval of 0.8 s.
-			probes := 2 * min(n, 7) * int(lasts/maxRetryPause)
-			calls("no store for 8 s", func() { w.storeAwayUntil = w.now + 8*time.Second }, reads+3*n+probes)
+			// Two members of each domain go on probing at an interval of 0.8 s, and the
+			// others make backupReadsPerSecond in turn.
+			const away = 8 * time.Second
+			probes := min(n, 7) * (2*int(away/maxRetryPause) + backupReadsPerSecond*int(away/time.Second))
+			changes := w.totalSourceChanges()
+			calls("no store for 8 s", func() { w.storeAwayUntil = w.now + away }, reads+probes)
+			if got := w.totalSourceChanges() - changes; got > n {
+				t.Errorf("%d changes of source among %d members while the store was away, want at most one each", got, n)
+			}
 		})
 	}
 }
--- a/node/edge/slowlink_test.go
+++ b/node/edge/slowlink_test.go
@@ -50,7 +50,7 @@
 	w.linkRate, w.storeLink.rate = slowLink, storeLink
 	w.run(15 * time.Second)
 	for _, m := range w.members {
-		if m.state.storeLost {
+		if m.state.store.lost {
 			t.Fatalf("%s has lost the store before the change", m.addr)
 		}
 	}
@@ -58,7 +58,7 @@
 	t.Logf("in force after %s", w.runUntilCurrent(w.applyWithin))
 	w.run(5 * time.Second)
 	for _, m := range w.members {
-		if m.state.storeLost || m.state.storeLostAt > 0 {
+		if m.state.store != (storeState{}) {
 			t.Errorf("%s took the store for lost", m.addr)
 		}
 	}
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -38,7 +38,7 @@
 	Domain          string           `cbor:"2,keyasint"`
 	Revision        catalog.Revision `cbor:"3,keyasint,omitempty"`
 	Version         catalog.Version  `cbor:"4,keyasint,omitempty"`
-	Age             Millis           `cbor:"5,keyasint,omitempty"` // since the sender's catalog was known to be current
+	Age             Millis           `cbor:"5,keyasint,omitempty"` // since the sender's catalog was known to be current, in Update and Subscribe
 	StoreHealthyFor Millis           `cbor:"6,keyasint,omitempty"` // how long the store, not the sender, had been healthy then
 	Domains         []string         `cbor:"7,keyasint,omitempty"` // referenced by Members
 	Members         []Member         `cbor:"8,keyasint,omitempty"`
@@ -49,7 +49,10 @@
 	// the time at which the Update was sent.
 	SentAt       time.Duration `cbor:"10,keyasint,omitempty"`
 	SubscribeAge Millis        `cbor:"11,keyasint,omitempty"`
-	// StoreUnreachable means that the store does not answer the sender.
+	// StoreLost means that the store answers neither the sender nor the members
+	// that it follows.
+	StoreLost bool `cbor:"15,keyasint,omitempty"`
+	// StoreUnreachable means that the store does not answer the sender, but others.
 	StoreUnreachable bool `cbor:"13,keyasint,omitempty"`
 	// TakesDiffs means in a Subscribe that the sender takes configurations as
 	// differences.
