Start instances with slow links from peers, let larger ones serve the others

Nine of ten instances have links of 20 Mbit/s, and any of them could be the one that the others follow.

Ruled out: reading parts of the list first. The configuration is one item and more than half of the bytes.

Change: an instance states its capacity, by the bandwidth of its link (setting link_mbps). Members rank by capacity first, so that larger ones read the store and serve the others. An instance that needs more than 0.1 s for a page waits for peers at its start, while one is known that has the catalog or that is larger, 0.8 s at most; a peer sends the same in a tenth of the bytes. The reply is encoded once for all followers that ask the same, and outside the lock of the data path. The first gossip is sent at once, and a source is chosen with the first answer. Peers of the former version are taken as of unknown capacity.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -2,9 +2,9 @@
 // members form a distribution tree: the first-ranked member of the fleet reads
 // the settings store, the first-ranked member of each other failure domain
 // follows it, and the others follow members of their own domain. No election is
-// needed: members are ranked by a hash of their addresses, and a member whose
-// sources do not answer reads the store itself. The package has no clock and
-// does no I/O.
+// needed: members are ranked by their capacity and a hash of their addresses, and
+// a member whose sources do not answer reads the store itself. The package has no
+// clock and does no I/O.
 package fleet
 
 import (
@@ -77,13 +77,21 @@
 // rankSeed makes the ranking independent of other hashes.
 const rankSeed uint64 = 0x666c656574
 
+// Identity is what a member states about itself.
+type Identity struct {
+	Addr   netip.Addr
+	Domain string
+	// Capacity is higher for members that can serve more followers. It is 0 if it
+	// is unknown.
+	Capacity uint8
+}
+
 // Member is an instance in another instance's membership view.
 type Member struct {
-	Addr      netip.Addr
-	Domain    string
+	Identity
 	LastHeard time.Duration // when any member last heard from it
 
-	rank                  uint64
+	hash                  uint64        // decides the rank among members of one capacity
 	avoidUntil            time.Duration // not selected as a source until then
 	followerUntil         time.Duration // end of its follower lease
 	storeUnreachableUntil time.Duration // ranks as unable to reach the store until then
@@ -95,7 +103,7 @@
 // Fleet is one instance's view of the members of the fleet. It is not safe for
 // concurrent use.
 type Fleet struct {
-	self             Member
+	self             *Member
 	members          map[netip.Addr]*Member
 	ranked           []*Member // all except self, by rank
 	seeds            []netip.Addr
@@ -110,16 +118,16 @@
 
 // New returns the view of an instance that knows no other members yet. The seed
 // is that of its random choices.
-func New(addr netip.Addr, domain string, seed uint64) *Fleet {
+func New(self Identity, seed uint64) *Fleet {
 	return &Fleet{
-		self:    Member{Addr: addr, Domain: domain, rank: rank(addr)},
+		self:    &Member{Identity: self, hash: hash(self.Addr)},
 		members: make(map[netip.Addr]*Member),
 		random:  rand.New(rand.NewPCG(seed, rankSeed)),
 	}
 }
 
-// rank returns the rank of an address: lower values rank first.
-func rank(a netip.Addr) uint64 {
+// hash returns the hash of an address.
+func hash(a netip.Addr) uint64 {
 	b := a.As16()
 	d := xxhash.NewWithSeed(rankSeed)
 	// Writing to a hash never fails.
@@ -133,6 +141,9 @@
 	f.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.Addr) bool { return a == f.self.Addr })
 }
 
+// Self returns what the instance states about itself.
+func (f *Fleet) Self() Identity { return f.self.Identity }
+
 // Source returns the member that the instance follows, or the zero Addr while
 // the instance reads the store itself.
 func (f *Fleet) Source() netip.Addr { return f.source }
@@ -152,14 +163,20 @@
 	return ""
 }
 
+// KnowsLarger reports whether a member of higher capacity than this instance is
+// known.
+func (f *Fleet) KnowsLarger() bool {
+	return len(f.ranked) > 0 && f.ranked[0].Capacity > f.self.Capacity
+}
+
 // Size returns the number of known members, including the instance itself.
 func (f *Fleet) Size() int { return len(f.ranked) + 1 }
 
 // RecordMessage records a message from a member. It reports whether the member
 // was unknown; the caller then sends gossip in return.
-func (f *Fleet) RecordMessage(now time.Duration, addr netip.Addr, domain string) bool {
-	_, known := f.members[addr]
-	m := f.upsertMember(now, addr, domain)
+func (f *Fleet) RecordMessage(now time.Duration, from Identity) bool {
+	_, known := f.members[from.Addr]
+	m := f.upsertMember(now, from)
 	if m == nil {
 		return false
 	}
@@ -207,39 +224,56 @@
 	}
 }
 
-// RecordGossip records that another member reports addr as last heard from age
-// ago.
-func (f *Fleet) RecordGossip(now time.Duration, addr netip.Addr, domain string, age time.Duration) {
+// RecordGossip records that another member reports a member as last heard from
+// age ago.
+func (f *Fleet) RecordGossip(now time.Duration, about Identity, age time.Duration) {
 	if age < memberTTL {
-		f.upsertMember(now-age, addr, domain)
+		f.upsertMember(now-age, about)
 	}
 }
 
 // upsertMember adds or updates a member. It returns nil for the instance itself.
-func (f *Fleet) upsertMember(heard time.Duration, addr netip.Addr, domain string) *Member {
-	if addr == f.self.Addr {
+func (f *Fleet) upsertMember(heard time.Duration, id Identity) *Member {
+	if id.Addr == f.self.Addr {
 		return nil
 	}
-	m := f.members[addr]
+	m := f.members[id.Addr]
 	if m == nil {
-		m = &Member{Addr: addr, Domain: domain, LastHeard: heard, rank: rank(addr)}
-		f.members[addr] = m
-		i, _ := slices.BinarySearchFunc(f.ranked, m, compareRank)
-		f.ranked = slices.Insert(f.ranked, i, m)
+		m = &Member{Identity: id, LastHeard: heard, hash: hash(id.Addr)}
+		f.members[id.Addr] = m
+		f.insertRanked(m)
+	}
+	m.Domain, m.LastHeard = id.Domain, max(m.LastHeard, heard)
+	if id.Capacity > 0 && id.Capacity != m.Capacity {
+		f.removeRanked(m)
+		m.Capacity = id.Capacity
+		f.insertRanked(m)
 	}
-	m.Domain, m.LastHeard = domain, max(m.LastHeard, heard)
 	return m
 }
 
+func (f *Fleet) insertRanked(m *Member) {
+	i, _ := slices.BinarySearchFunc(f.ranked, m, compareRank)
+	f.ranked = slices.Insert(f.ranked, i, m)
+}
+
+func (f *Fleet) removeRanked(m *Member) {
+	if i, found := slices.BinarySearchFunc(f.ranked, m, compareRank); found {
+		f.ranked = slices.Delete(f.ranked, i, i+1)
+	}
+}
+
+// compareRank compares the ranks of two members: those of higher capacity rank
+// first.
 func compareRank(a, b *Member) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), a.Addr.Compare(b.Addr))
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.hash, b.hash), a.Addr.Compare(b.Addr))
 }
 
 // Remove removes a member that announced its stop.
 func (f *Fleet) Remove(addr netip.Addr) {
 	if m := f.members[addr]; m != nil {
 		delete(f.members, addr)
-		f.ranked = slices.DeleteFunc(f.ranked, func(x *Member) bool { return x == m })
+		f.removeRanked(m)
 	}
 }
 
@@ -373,7 +407,7 @@
 		}
 		for _, m := range f.ranked {
 			// Ranks are compared only if both or neither can reach the store.
-			lower := reachable != f.storeUnreachable && compareRank(m, &f.self) > 0
+			lower := reachable != f.storeUnreachable && compareRank(m, f.self) > 0
 			switch {
 			case (m.storeUnreachableUntil <= now) != reachable || lower:
 			case m.Domain == f.self.Domain:
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -17,12 +17,12 @@
 func connectedFleets(n, domains int) map[netip.Addr]*Fleet {
 	all := make(map[netip.Addr]*Fleet)
 	for i := range n {
-		all[addr(i)] = New(addr(i), fmt.Sprint("d", i%domains), uint64(i))
+		all[addr(i)] = New(Identity{Addr: addr(i), Domain: fmt.Sprint("d", i%domains)}, uint64(i))
 	}
 	for a, f := range all {
 		for b, m := range all {
 			if a != b {
-				f.RecordMessage(time.Second, b, m.self.Domain)
+				f.RecordMessage(time.Second, m.self.Identity)
 			}
 		}
 	}
@@ -81,14 +81,14 @@
 		now += 100 * time.Millisecond
 		for m := range f.members {
 			if m != dead {
-				f.RecordMessage(now, m, "d0")
+				f.RecordMessage(now, Identity{Addr: m, Domain: "d0"})
 			}
 		}
 		f.Tick(now, StoreAccess{})
 		g.Expect(now).To(BeNumerically("<", time.Second+sourceTimeout+300*time.Millisecond))
 	}
 	// After a message from the former source, it is selected again.
-	f.RecordMessage(now, dead, "d0")
+	f.RecordMessage(now, Identity{Addr: dead, Domain: "d0"})
 	f.Tick(now, StoreAccess{})
 	g.Expect(f.Source()).To(Equal(dead))
 }
@@ -171,13 +171,13 @@
 // their seeds is running.
 func TestDiscoveryThroughOneSeed(t *testing.T) {
 	g := NewWithT(t)
-	f := New(addr(1), "a", 1)
+	f := New(Identity{Addr: addr(1), Domain: "a"}, 1)
 	f.SetSeeds([]netip.Addr{addr(1), addr(50), addr(2)})
 	p := f.Tick(time.Second, StoreAccess{})
 	g.Expect(p.GossipTo).To(ConsistOf(addr(50), addr(2)), "an instance does not gossip to itself")
-	g.Expect(f.RecordMessage(time.Second, addr(2), "a")).To(BeTrue(), "an unknown member gets gossip in return")
-	g.Expect(f.RecordMessage(time.Second, addr(2), "a")).To(BeFalse())
-	f.RecordGossip(time.Second, addr(3), "b", 0)
+	g.Expect(f.RecordMessage(time.Second, Identity{Addr: addr(2), Domain: "a"})).To(BeTrue(), "an unknown member gets gossip in return")
+	g.Expect(f.RecordMessage(time.Second, Identity{Addr: addr(2), Domain: "a"})).To(BeFalse())
+	f.RecordGossip(time.Second, Identity{Addr: addr(3), Domain: "b"}, 0)
 	g.Expect(f.Size()).To(Equal(3))
 }
 
@@ -185,13 +185,13 @@
 // adds a removed member again.
 func TestMembersExpire(t *testing.T) {
 	g := NewWithT(t)
-	f := New(addr(1), "a", 1)
-	f.RecordMessage(time.Second, addr(2), "a")
+	f := New(Identity{Addr: addr(1), Domain: "a"}, 1)
+	f.RecordMessage(time.Second, Identity{Addr: addr(2), Domain: "a"})
 	f.Tick(time.Second+memberTTL+1, StoreAccess{})
 	g.Expect(f.Size()).To(Equal(1))
-	f.RecordGossip(time.Minute, addr(2), "a", memberTTL)
+	f.RecordGossip(time.Minute, Identity{Addr: addr(2), Domain: "a"}, memberTTL)
 	g.Expect(f.Size()).To(Equal(1))
-	f.RecordMessage(time.Minute, addr(2), "a")
+	f.RecordMessage(time.Minute, Identity{Addr: addr(2), Domain: "a"})
 	f.Remove(addr(2))
 	g.Expect(f.Size()).To(Equal(1))
 }
@@ -199,8 +199,8 @@
 // Guards against followers without a lease and against leases that never expire.
 func TestFollowerLeaseExpires(t *testing.T) {
 	g := NewWithT(t)
-	f := New(addr(1), "a", 1)
-	f.RecordMessage(time.Second, addr(2), "a")
+	f := New(Identity{Addr: addr(1), Domain: "a"}, 1)
+	f.RecordMessage(time.Second, Identity{Addr: addr(2), Domain: "a"})
 	f.RenewFollower(time.Second, addr(2))
 	g.Expect(f.Followers(2 * time.Second)).To(ConsistOf(addr(2)))
 	g.Expect(f.Followers(time.Second + FollowerLease)).To(BeEmpty())
@@ -211,16 +211,21 @@
 func TestNoFollowerCycles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 40).Draw(t, "members")
-		fleets := make([]*Fleet, n)
+		fleets, capacities := make([]*Fleet, n), make([]uint8, n)
 		for i := range n {
-			fleets[i] = New(addr(i), fmt.Sprint("d", i%3), uint64(i))
+			capacities[i] = rapid.Uint8Range(1, 3).Draw(t, "capacity")
+			fleets[i] = New(Identity{addr(i), fmt.Sprint("d", i%3), capacities[i]}, uint64(i))
 		}
 		now := time.Second
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "gap")) * time.Millisecond
 			a, b := rapid.IntRange(0, n-1).Draw(t, "a"), rapid.IntRange(0, n-1).Draw(t, "b")
 			if a != b {
-				fleets[a].RecordMessage(now, addr(b), fmt.Sprint("d", b%3))
+				id := Identity{addr(b), fmt.Sprint("d", b%3), capacities[b]}
+				if rapid.Bool().Draw(t, "capacity unknown") {
+					id.Capacity = 0
+				}
+				fleets[a].RecordMessage(now, id)
 			}
 			fleets[a].Tick(now, StoreAccess{})
 		}
@@ -240,3 +245,36 @@
 		}
 	})
 }
+
+// Guards against small instances that serve those of a domain with larger ones.
+func TestLargerMembersServeTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	const members, large = 60, 3
+	fleets := make([]*Fleet, members)
+	for i := range members {
+		id := Identity{Addr: addr(i), Domain: "a", Capacity: 4}
+		if i%20 == 0 {
+			id.Capacity = 7
+		}
+		fleets[i] = New(id, uint64(i))
+	}
+	for _, f := range fleets {
+		for _, x := range fleets {
+			if x != f {
+				id := x.Self()
+				f.RecordGossip(time.Second, Identity{Addr: id.Addr, Domain: id.Domain}, 0) // from a member that does not know the capacity
+				f.RecordGossip(time.Second, id, 0)
+			}
+		}
+	}
+	served := 0
+	for _, f := range fleets {
+		f.Tick(time.Second, StoreAccess{})
+		if m := f.members[f.Source()]; m != nil && m.Capacity == 7 {
+			served++
+		}
+		g.Expect(f.KnowsLarger()).To(Equal(f.Self().Capacity < 7))
+	}
+	// Three large members have 16 followers each, two of which are large ones.
+	g.Expect(served).To(BeNumerically(">=", large*FanOut))
+}
--- a/node/edge/calls.go
+++ b/node/edge/calls.go
@@ -45,6 +45,8 @@
 type sinceResult struct {
 	Change     []byte `json:"change"`
 	Compressed bool   `json:"compressed,omitempty"`
+	// Delay is the time since the change was encoded, by which its age has grown.
+	Delay wire.Millis `json:"delay_ms,omitempty"`
 }
 
 // discardLog discards the log lines of jsonrpc2. They report closed connections,
@@ -133,7 +135,16 @@
 	if err := call(ctx, addr, methodCatalogSince, sinceParams{have.revision, have.version, true}, &r); err != nil {
 		return nil, err
 	}
-	return wire.DecodeChange(r.Change, r.Compressed)
+	return r.decode()
+}
+
+func (r sinceResult) decode() (*wire.Change, error) {
+	c, err := wire.DecodeChange(r.Change, r.Compressed)
+	if err != nil {
+		return nil, err
+	}
+	c.Age += r.Delay
+	return c, nil
 }
 
 // call makes one call on a new connection.
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -260,6 +260,9 @@
 	}
 	i.logApplied(a, ch, from, now-at)
 	if !was && i.catalog.Complete() {
+		if cancel := i.state.cancelLoad; cancel != nil {
+			cancel()
+		}
 		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(),
 			"held", len(i.held.packets), "from", from)
 	}
--- a/node/edge/follow_test.go
+++ b/node/edge/follow_test.go
@@ -45,7 +45,7 @@
 func newIdleInstance(clk clock, store Store) *Instance {
 	return newInstance(Options{
 		Settings: &edge.Settings{
-			Name: "x", Domain: "a", Packets: netip.MustParseAddrPort("10.0.0.1:8172"), InternalPorts: []int{7720, 7735},
+			Name: "x", Domain: "a", Packets: netip.MustParseAddrPort("10.0.0.1:8172"), InternalPorts: []int{7720, 7735}, LinkMbps: 1000,
 			ApplyWithin: document.Duration{Duration: 3 * time.Second}, DrainWithin: document.Duration{Duration: 3 * time.Second},
 		},
 		Store: func(StoreHooks) Store { return store },
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -75,15 +76,16 @@
 
 // Instance is a running instance.
 type Instance struct {
-	packets Packets
-	store   Store
-	log     *slog.Logger
-	level   *slog.LevelVar
-	clock   clock
-	metrics *metrics
-	socket  *net.UDPConn
-	random  *rand.Rand                                       // jitter of the store reads
-	sleep   func(ctx context.Context, d time.Duration) error // returns early with an error when ctx is done
+	packets  Packets
+	store    Store
+	log      *slog.Logger
+	level    *slog.LevelVar
+	clock    clock
+	metrics  *metrics
+	socket   *net.UDPConn
+	slowLink bool                                             // see isSlowLink
+	random   *rand.Rand                                       // jitter of the store reads
+	sleep    func(ctx context.Context, d time.Duration) error // returns early with an error when ctx is done
 
 	// mu guards the fields below.
 	mu               sync.Mutex
@@ -95,6 +97,8 @@
 
 	state state
 	peers peers
+
+	replies replyCache
 }
 
 // tickInterval is the interval of the periodic housekeeping.
@@ -123,6 +127,7 @@
 	i := &Instance{
 		settings: s, packets: o.Packets, log: o.Log, level: o.LogLevel,
 		clock:            clk,
+		slowLink:         isSlowLink(s.LinkMbps),
 		random:           rand.New(rand.NewPCG(o.Seed, 1)),
 		sleep:            sleep,
 		catalog:          c,
@@ -134,7 +139,7 @@
 	i.peers = peers{
 		port:        uint16(s.InternalPorts[0]),
 		followers:   make(map[netip.Addr]follower),
-		fleet:       fleet.New(s.Packets.Addr(), s.Domain, o.Seed),
+		fleet:       fleet.New(fleet.Identity{Addr: s.Packets.Addr(), Domain: s.Domain, Capacity: capacity(s.LinkMbps)}, o.Seed),
 		fetchChange: fetchChange,
 		background:  func(f func()) { go f() },
 	}
@@ -142,6 +147,10 @@
 	return i
 }
 
+// capacity returns the capacity that an instance states to its peers: it grows by
+// one each time the bandwidth of the link doubles.
+func capacity(linkMbps float64) uint8 { return uint8(max(1, 8+math.Floor(math.Log2(linkMbps)))) }
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -201,12 +210,12 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
+		i.doHousekeeping()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
 		}
-		i.doHousekeeping()
 	}
 }
 
@@ -216,6 +225,7 @@
 	if slept := i.clock.adjust(); slept > 0 {
 		i.log.Warn("the machine was suspended", "for", slept)
 	}
+	i.dropReply()
 	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -171,7 +171,7 @@
 		Name: fmt.Sprint("front-", n), Domain: "a",
 		Packets: netip.AddrPortFrom(l.ip(n), 8172), Health: netip.AddrPortFrom(l.ip(n), 8167),
 		InternalPorts: []int{7720, 7735}, Seeds: []netip.AddrPort{netip.AddrPortFrom(l.ip(1), 1)},
-		MetricsPort: 7735, LogLevel: "info",
+		MetricsPort: 7735, LinkMbps: 1000, LogLevel: "info",
 		StopGrace: document.Duration{Duration: 2 * time.Second}, ApplyWithin: document.Duration{Duration: 3 * time.Second},
 		DrainWithin: document.Duration{Duration: 3 * time.Second},
 	}
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -21,6 +21,19 @@
 	// firstPageTimeout is how long after the start the first page may be missing
 	// before the catalog is pulled from a peer that has it.
 	firstPageTimeout = 300 * time.Millisecond
+	// pageBytes is the largest size of a page.
+	pageBytes = 1.4e6
+	// slowPageTime is the time of a page on the link of an instance above which
+	// peers are asked first: they send the same in a tenth of the bytes.
+	slowPageTime = 100 * time.Millisecond
+	// startSpread is the time within which the instances of a fleet start.
+	startSpread = 300 * time.Millisecond
+	// maxLoadTime limits the time that a larger instance needs to load its catalog.
+	maxLoadTime = 500 * time.Millisecond
+	// firstReplyTime is the time within which the seeds reply to the first gossip.
+	firstReplyTime = 50 * time.Millisecond
+	// peerPollInterval is the interval at which the wait for peers is reviewed.
+	peerPollInterval = 10 * time.Millisecond
 	// maxPageTries limits the attempts to read one page.
 	maxPageTries = 4
 	// firstPagePause is the pause before the second attempt. It doubles with each
@@ -34,6 +47,52 @@
 // pages are read, and instances that start together place them on different
 // servers.
 func (i *Instance) load(ctx context.Context) error {
+	if i.slowLink {
+		if err := i.awaitPeers(ctx); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	i.mu.Lock()
+	loaded := i.catalog.Loaded()
+	i.state.cancelLoad = cancel
+	i.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	err := i.loadFromStore(ctx)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.catalog.Loaded() {
+		return nil // a peer was faster
+	}
+	return err
+}
+
+// isSlowLink reports whether a page takes long over a link.
+func isSlowLink(mbps float64) bool { return pageBytes*8/(mbps*1e6) > slowPageTime.Seconds() }
+
+// awaitPeers waits while peers are likely to deliver the catalog sooner than the
+// store: one that has it is known, or a larger one that reads it first.
+func (i *Instance) awaitPeers(ctx context.Context) error {
+	began := i.clock.now()
+	for {
+		i.mu.Lock()
+		loaded := i.catalog.Loaded()
+		expected := i.peers.completePeerKnown || i.peers.fleet.KnowsLarger()
+		i.mu.Unlock()
+		waited := i.clock.now() - began
+		if loaded || waited >= startSpread+maxLoadTime || waited >= firstReplyTime && !expected {
+			return nil
+		}
+		if err := i.sleep(ctx, peerPollInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (i *Instance) loadFromStore(ctx context.Context) error {
 	at := i.clock.now()
 	first, next, err := i.page(ctx, "", false)
 	if err != nil {
@@ -110,6 +169,9 @@
 		if err == nil {
 			return ch, next, nil
 		}
+		if ctx.Err() != nil {
+			return nil, "", ctx.Err()
+		}
 		i.recordStoreResult(began, err)
 	}
 	return nil, "", trace.Wrap(err, "read store page after position %q, %d attempts", after, maxPageTries)
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -30,6 +30,7 @@
 	stopping   bool
 	store      storeState
 	lastPacket time.Duration
+	cancelLoad context.CancelFunc // ends the load of the first catalog from the store, nil before it begins
 }
 
 // notReady returns why the instance should not get packets, "" if it should.
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -29,6 +29,8 @@
 	pulling   bool
 	// needsWholeConfig is set while a difference of the configuration did not fit.
 	needsWholeConfig bool
+	// completePeerKnown is set when a peer has a complete catalog.
+	completePeerKnown bool
 
 	updatedAt   time.Duration // time of the last update to all followers
 	updatedAsOf time.Duration // its age reference
@@ -104,14 +106,21 @@
 		i.updateSource(now)
 		return
 	}
-	if i.peers.fleet.RecordMessage(now, from, m.Domain) && !i.state.stopping {
+	if i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity}) && !i.state.stopping {
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
 	i.peers.fleet.SetStoreUnreachable(now, from, m.StoreUnreachable)
 	i.peers.fleet.SetStoreLost(from, m.StoreLost)
 	i.reportStoreLost(now)
-	for _, x := range m.Members {
-		i.peers.fleet.RecordGossip(now, netip.AddrFrom4(x.Addr), m.Domains[x.Domain], x.Age.Duration())
+	for k, x := range m.Members {
+		id := fleet.Identity{Addr: netip.AddrFrom4(x.Addr), Domain: m.Domains[x.Domain], Capacity: m.CapacityOf(k)}
+		i.peers.fleet.RecordGossip(now, id, x.Age.Duration())
+	}
+	if m.Revision > 0 {
+		i.peers.completePeerKnown = true
+	}
+	if !i.catalog.Loaded() && !i.state.stopping {
+		i.tickPeers(now) // subscribes to a source as soon as one is known
 	}
 	switch m.Kind {
 	case wire.Subscribe:
@@ -151,12 +160,11 @@
 	}
 }
 
-// mayPull reports whether a change may be pulled from a peer. An empty catalog is
-// loaded from the store while the store answers: reading stale pages costs the
-// fleet less than complete catalogs from members with slow links.
+// mayPull reports whether a change may be pulled from a peer. An instance with a
+// fast link loads an empty catalog from the store while the store answers.
 func (i *Instance) mayPull(now time.Duration) bool {
 	late := i.catalog.Config() == nil && now > firstPageTimeout
-	return i.catalog.Loaded() || i.state.store.lost || late
+	return i.catalog.Loaded() || i.state.store.lost || late || i.slowLink
 }
 
 // pullChanges fetches the changes that a peer has and this instance lacks.
@@ -257,6 +265,7 @@
 // datagram.
 func (i *Instance) sendToPeer(to netip.Addr, m *wire.Message) bool {
 	now := i.clock.now()
+	m.Capacity = i.peers.fleet.Self().Capacity
 	m.StoreUnreachable, m.StoreLost = i.storeAccess(now).Unreachable, i.storeLostByAll(now)
 	b, err := wire.Encode(m)
 	if err != nil {
@@ -358,6 +367,9 @@
 // memberMessage returns a message to a peer with a sample of the members.
 func (i *Instance) memberMessage(now time.Duration, k wire.Kind, to netip.Addr) *wire.Message {
 	m := &wire.Message{Kind: k, Domain: i.settings.Domain}
+	if i.catalog.Complete() {
+		m.Revision, m.Version = i.catalog.Revision(), i.catalog.Version()
+	}
 	i.addMemberSample(now, m, to, fleet.GossipSampleSize)
 	return m
 }
@@ -373,6 +385,7 @@
 			m.Domains = append(m.Domains, x.Domain)
 		}
 		m.Members = append(m.Members, wire.Member{Addr: x.Addr.As4(), Domain: at, Age: wire.CeilMillis(now - x.LastHeard)})
+		m.Capacities = append(m.Capacities, x.Capacity)
 	}
 }
 
--- a/node/edge/simulation_test.go
+++ b/node/edge/simulation_test.go
@@ -39,7 +39,9 @@
 	changes        []publishedVersion // in order of revision
 	storeAwayUntil time.Duration      // the store does not answer before this time
 	storeLink      simulatedLink
+	serverBytes    int     // of the entries of the servers in the pages of the store
 	linkRate       float64 // of the members' links, bytes per second, 0 for no limit
+	largeLinkRate  float64 // of the links of the large members
 
 	wait func(time.Duration) bool // suspends the running coroutine, see member.runCoroutine
 }
@@ -64,6 +66,7 @@
 	storeCut                 bool
 	partition                int // members of different partitions do not reach each other
 	faultUntil               time.Duration
+	large                    bool
 	uplink, downlink         simulatedLink
 	coroutines               []func() // functions that end the coroutines
 	storeCalls               int
@@ -200,7 +203,7 @@
 	m.noteFault(0)
 	s := &edge.Settings{
 		Name: m.addr.String(), Domain: m.domain, Packets: netip.AddrPortFrom(m.addr, 8172),
-		InternalPorts: []int{7720, 7735}, LogLevel: "error",
+		InternalPorts: []int{7720, 7735}, LogLevel: "error", LinkMbps: m.linkMbps(),
 		// Drained servers have to be out of use within the apply time of the
 		// simulation, so that DrainWithin is the bound that counts.
 		ApplyWithin: document.Duration{Duration: 3 * m.sim.applyWithin}, DrainWithin: document.Duration{Duration: m.sim.applyWithin},
@@ -217,10 +220,25 @@
 	m.peers.send = m.send
 	m.peers.fetchChange = m.pull
 	m.peers.background = m.runCoroutine
-	m.schedule(time.Duration(m.sim.random.IntN(100))*time.Millisecond, m.tick)
+	m.schedule(0, m.tick)
 	m.runCoroutine(m.read)
 }
 
+// linkRate returns the bandwidth of the member's link, 0 for no limit.
+func (m *member) linkRate() float64 {
+	if m.large {
+		return m.sim.largeLinkRate
+	}
+	return m.sim.linkRate
+}
+
+func (m *member) linkMbps() float64 {
+	if rate := m.linkRate(); rate > 0 {
+		return rate * 8 / 1e6
+	}
+	return 1000
+}
+
 // runCoroutine runs f as a coroutine, which simulation.sleep suspends. It ends
 // when the member is restarted.
 func (m *member) runCoroutine(f func()) {
@@ -283,7 +301,7 @@
 // receiveOver suspends the coroutine while an answer passes a remote link and the
 // downlink of the member, within the limits of ctx.
 func (m *member) receiveOver(ctx context.Context, remote *simulatedLink, bytes int) error {
-	m.downlink.rate = m.sim.linkRate
+	m.downlink.rate = m.linkRate()
 	begin := m.sim.now
 	first, sent := remote.transfer(begin, bytes)
 	mine, last := m.downlink.transfer(first, bytes)
@@ -385,11 +403,12 @@
 	}
 	ctx, cancel := withCallLimits(ctx)
 	defer cancel()
-	x.uplink.rate = m.sim.linkRate
-	if err := m.receiveOver(ctx, &x.uplink, len(r.(sinceResult).Change)); err != nil {
+	x.uplink.rate = x.linkRate()
+	result := r.(sinceResult)
+	if err := m.receiveOver(ctx, &x.uplink, len(result.Change)); err != nil {
 		return nil, err
 	}
-	return wire.DecodeChange(r.(sinceResult).Change, r.(sinceResult).Compressed)
+	return result.decode()
 }
 
 // freeze stops the member for a while. Events that become due are delayed.
@@ -463,7 +482,7 @@
 }
 
 func (s storeClient) Page(ctx context.Context, _ string, _ bool) (*catalog.Change, string, error) {
-	ch, err := s.readConfig(ctx)
+	ch, err := s.read(ctx, routeBytes*len(s.m.sim.lastConfig().Routes)+s.m.sim.serverBytes)
 	return ch, "", err
 }
 
--- a/node/edge/slowlink_test.go
+++ b/node/edge/slowlink_test.go
@@ -70,3 +70,33 @@
 	const readyWithin = 1500*time.Millisecond + 300*time.Millisecond
 	t.Logf("ready after %s", w.runUntilCurrent(readyWithin))
 }
+
+// Guards against a fleet that stays away for seconds after all its instances lost
+// power, because all of them read a big catalog over the link of the store. The
+// callers send a SYN for the last time after 600 ms.
+func TestRestartOfALargeFleet(t *testing.T) {
+	const (
+		members, domains, largePerDomain = 295, 6, 3
+		startSpread                      = 300 * time.Millisecond
+		readyWithin                      = startSpread + 600*time.Millisecond
+	)
+	w := newSimulation(members, domains, 1, t.Fatalf)
+	w.applyWithin = 6 * time.Second
+	w.linkRate, w.largeLinkRate, w.storeLink.rate = 20e6/8, 200e6/8, storeLink
+	w.serverBytes = 600 * 340
+	for n := range domains * largePerDomain {
+		w.members[n].large = true
+	}
+	w.publishRoutes(w.makeRoutes(1200))
+	w.run(15 * time.Second)
+	w.runUntilCurrent(w.applyWithin)
+	calls := w.totalStoreCalls()
+	for _, m := range w.members {
+		m.dead = true
+		w.after(time.Duration(w.random.IntN(int(startSpread))), m.start)
+	}
+	t.Logf("ready after %s", w.runUntilCurrent(readyWithin))
+	if got := w.totalStoreCalls() - calls; got > members/2 {
+		t.Errorf("%d members made %d calls to the store, want less than half as many", members, got)
+	}
+}
--- a/settings/edge/edge.go
+++ b/settings/edge/edge.go
@@ -17,8 +17,10 @@
 	InternalPorts []int          `json:"internal_ports" required:"true" min:"1" max:"65535" unit:"first and last port"`
 	// Seeds are other instances; only their addresses count, since all
 	// instances use the same internal ports.
-	Seeds       []netip.AddrPort  `json:"seeds" unit:"address:port"`
-	Store       netip.AddrPort    `json:"store" required:"true" unit:"address:port, TCP"`
+	Seeds []netip.AddrPort `json:"seeds" unit:"address:port"`
+	Store netip.AddrPort   `json:"store" required:"true" unit:"address:port, TCP"`
+	// LinkMbps is the bandwidth of the instance's network link.
+	LinkMbps    float64           `json:"link_mbps" default:"1000" min:"0.1" max:"1000000" unit:"Mbit/s"`
 	MetricsPort int               `json:"metrics_port" default:"0" min:"0" max:"65535" unit:"port, 0 for none"`
 	StopGrace   document.Duration `json:"stop_grace" default:"6s" min:"1s" max:"1h" unit:"us, ms, s, m, h"`
 	// ApplyWithin is the time within which a change has to be in force.
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -42,6 +42,8 @@
 	StoreHealthyFor Millis           `cbor:"6,keyasint,omitempty"` // how long the store, not the sender, had been healthy then
 	Domains         []string         `cbor:"7,keyasint,omitempty"` // referenced by Members
 	Members         []Member         `cbor:"8,keyasint,omitempty"`
+	Capacities      []uint8          `cbor:"16,keyasint,omitempty"` // of Members, in their order
+	Capacity        uint8            `cbor:"17,keyasint,omitempty"` // of the sender
 	Change          *Change          `cbor:"9,keyasint,omitempty"`
 	// SentAt is when a Subscribe was sent, by its sender's clock. An Update
 	// returns the SentAt of the last Subscribe, and in SubscribeAge the time
@@ -132,9 +134,20 @@
 			return nil, fmt.Errorf("decode fleet message: member %d refers to domain %d of %d", i, x.Domain, len(m.Domains))
 		}
 	}
+	if len(m.Capacities) > 0 && len(m.Capacities) != len(m.Members) {
+		return nil, fmt.Errorf("decode fleet message: %d capacities of %d members", len(m.Capacities), len(m.Members))
+	}
 	return &m, nil
 }
 
+// CapacityOf returns the capacity of a member in Members, 0 if it is unknown.
+func (m *Message) CapacityOf(member int) uint8 {
+	if len(m.Capacities) == 0 {
+		return 0
+	}
+	return m.Capacities[member]
+}
+
 // maxChangeBytes limits a decompressed change. The complete catalog at the design
 // size takes about 700 KB.
 const maxChangeBytes = 8 << 20
--- a/wire/fleet/message_test.go
+++ b/wire/fleet/message_test.go
@@ -148,8 +148,9 @@
 		if err != nil {
 			return
 		}
-		for _, x := range m.Members {
+		for i, x := range m.Members {
 			_ = m.Domains[x.Domain] // panics if Decode accepted an invalid index
+			_ = m.CapacityOf(i)
 		}
 		if _, err := Encode(m); err != nil {
 			t.Errorf("decoded message cannot be encoded again: %v", err)
