Wait for larger peers while the fleet starts, read each page once

Cause: 280 of 352 instances that start at once stopped waiting after 50 ms, since no seed had started by then, and read the store all the same; gossip was repeated after 300 ms. The larger ones read the first page twice, needed up to 0.5 s for a page beside the 280, and refused calls beyond 32 (trial with the times of pages and pulls).

Change: an instance with a slow link waits 0.35 s for a first reply, until it knows half a dozen members, or as long as a larger one or one with a catalog is known. Gossip is repeated after 0.1 s while few members are known. The servers of the first page are used, and the rest of the list follows it. 128 calls are served at a time; their reply is the same.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -41,9 +41,13 @@
 	// gossipInterval is the interval of gossip to seeds and random members. It
 	// rejoins parts of the fleet after a partition.
 	gossipInterval = 2 * time.Second
-	// startupGossipInterval is the interval of the first startupGossipRounds
-	// rounds: the processes of a fleet start within 300 ms of each other, and
-	// late seeds within 3 s.
+	// firstGossipInterval is the interval of the first startupGossipRounds rounds
+	// while fewer than fewMembers are known: the processes of a fleet start within
+	// 300 ms of each other.
+	firstGossipInterval = 100 * time.Millisecond
+	fewMembers          = GossipSampleSize / 2
+	// startupGossipInterval is the interval of the following rounds while few members
+	// are known: late seeds start within 3 s.
 	startupGossipInterval = 300 * time.Millisecond
 	startupGossipRounds   = 10
 	// storeLostInterval is the interval at which a member that has no source and
@@ -349,10 +353,18 @@
 	return p
 }
 
+// KnowsMany reports whether so many members are known that a larger one than this
+// instance would be known as well, if there were any: each message names the
+// first-ranked one.
+func (f *Fleet) KnowsMany() bool { return len(f.ranked) >= fewMembers }
+
 // nextGossipInterval returns the interval until the next gossip round. It is
 // short while no members are known, and after the start while few are.
 func (f *Fleet) nextGossipInterval() time.Duration {
-	if len(f.ranked) < GossipSampleSize && f.gossipRounds < startupGossipRounds || len(f.ranked) == 0 {
+	switch {
+	case len(f.ranked) < fewMembers && f.gossipRounds < startupGossipRounds:
+		return firstGossipInterval
+	case len(f.ranked) < GossipSampleSize && f.gossipRounds < 2*startupGossipRounds, len(f.ranked) == 0:
 		return startupGossipInterval
 	}
 	return gossipInterval
--- a/node/edge/calls.go
+++ b/node/edge/calls.go
@@ -31,8 +31,10 @@
 	// maxReplyBytes limits the reply to a call. The complete catalog at the design
 	// size takes about 700 KB.
 	maxReplyBytes = 8 << 20
-	// maxCalls limits the connections that are served concurrently.
-	maxCalls = 32
+	// maxCalls limits the connections that are served concurrently. All followers
+	// pull at the same time when their source has loaded its catalog, up to the
+	// members of a domain while they do not know each other yet.
+	maxCalls = 128
 )
 
 type sinceParams struct {
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -30,8 +30,8 @@
 	startSpread = 300 * time.Millisecond
 	// maxLoadTime limits the time that a larger instance needs to load its catalog.
 	maxLoadTime = 500 * time.Millisecond
-	// firstReplyTime is the time within which the seeds reply to the first gossip.
-	firstReplyTime = 50 * time.Millisecond
+	// firstReplyTime is the time within which a seed replies that started last.
+	firstReplyTime = startSpread + 50*time.Millisecond
 	// peerPollInterval is the interval at which the wait for peers is reviewed.
 	peerPollInterval = 10 * time.Millisecond
 	// maxPageTries limits the attempts to read one page.
@@ -41,11 +41,8 @@
 	firstPagePause = 50 * time.Millisecond
 )
 
-// load fills the empty catalog. A deployment that fits one page is read in one
-// call. Otherwise the first page has the configuration, and the rest is read as
-// stale pages, starting at a random position: new flows are placed before all
-// pages are read, and instances that start together place them on different
-// servers.
+// load fills the empty catalog, from a peer if one is likely to be faster than the
+// store.
 func (i *Instance) load(ctx context.Context) error {
 	if i.slowLink {
 		if err := i.awaitPeers(ctx); err != nil {
@@ -81,9 +78,14 @@
 		i.mu.Lock()
 		loaded := i.catalog.Loaded()
 		expected := i.peers.completePeerKnown || i.peers.fleet.KnowsLarger()
+		knowsMany := i.peers.fleet.KnowsMany()
 		i.mu.Unlock()
 		waited := i.clock.now() - began
-		if loaded || waited >= startSpread+maxLoadTime || waited >= firstReplyTime && !expected {
+		limit := startSpread + maxLoadTime
+		if !expected {
+			limit = firstReplyTime
+		}
+		if loaded || waited >= limit || !expected && knowsMany {
 			return nil
 		}
 		if err := i.sleep(ctx, peerPollInterval); err != nil {
@@ -92,21 +94,26 @@
 	}
 }
 
+// loadFromStore reads the catalog. The pages after the first one are stale and
+// start at a random position: new flows are placed before all pages are read, and
+// instances that start together place them on different servers.
 func (i *Instance) loadFromStore(ctx context.Context) error {
 	at := i.clock.now()
-	first, next, err := i.page(ctx, "", false)
+	all, next, err := i.page(ctx, "", false)
 	if err != nil {
 		return err
 	}
+	all.Full = true
 	if next == "" {
-		first.Full = true
-		i.applyFromStore(at, first)
+		i.applyFromStore(at, all)
 		return nil
 	}
-	i.addPartial(at, &catalog.Change{Revision: first.Revision, Config: first.Config})
-	start := i.store.RandomPosition(next)
-	all := &catalog.Change{Full: true, Revision: first.Revision, Config: first.Config}
-	for _, part := range [][2]string{{start, ""}, {"", start}} {
+	i.addPartial(at, all)
+	start := max(next, i.store.RandomPosition(next))
+	for _, part := range [][2]string{{start, ""}, {next, start}} {
+		if part[0] == part[1] {
+			continue
+		}
 		if err := i.pages(ctx, part[0], part[1], true, all); err != nil {
 			return err
 		}
