Mend faults that operators of similar systems saw

- A caller used its port again while an instance still had the entry of the earlier flow, whose SYN had gone to two servers: the packets of the new flow went to the earlier server (core/steer TestReusedPortThroughAnotherInstance).
An entry only counts for sequence numbers near its own.
- A process that starts read its list as stale pages, which may be seconds old: a server that had left got new flows until the next read.
All pages are linearizable reads now, and the list is current as of the first one.
- A panic on one packet, peer message, call or store item ended the process, and so did one error of accept or of a read of a socket (node/edge TestPanicIsContained, TestAcceptErrorsAreSurvived).
Panics are contained, counted (egrettack_panics_total) and logged; sockets are used again after a pause and given up after 16 failures in a row.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -102,6 +102,11 @@
 	key := Key{p.Caller, p.Dest}
 	s := e.catalog.ByToken(p.Token)
 	f := e.flows[key]
+	if f != nil && !f.covers(p.Seq) {
+		// The caller uses its port again, and the new flow began at another instance.
+		e.removeFlow(key, f)
+		f = nil
+	}
 	if f != nil && len(f.tried) > 1 && f.established {
 		// Several servers may have answered the SYN and its retransmissions. The
 		// caller returns the token that it received last, but the flow is open at
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -357,3 +357,22 @@
 	v := l.engine.Decide(l.now, &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Token: token.Token(0)})
 	l.Expect(v).To(Equal(Verdict{Action: Drop, Reason: NoToken}))
 }
+
+// Guards against packets of a new flow that reach the server of an earlier one: a
+// caller used its port again, the earlier flow ended and the new one began at
+// another instance, and this one still has the entry of the earlier flow.
+func TestReusedPortThroughAnotherInstance(t *testing.T) {
+	l := newFixture(t)
+	from := l.newCaller()
+	first := l.sendSYN(from, feed, 0).Server
+	l.now += 200 * time.Millisecond
+	second := l.sendSYN(from, feed, 1).Server
+	l.completeHandshake(from, feed, first)
+	third := l.serverByID(3)
+	for _, next := range []*catalog.Server{third, second} {
+		// The sequence numbers of a new flow begin anywhere.
+		v := l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 1 << 30, Ack: 1, Len: 10, Token: next.Token})
+		l.Expect(v.Action).To(Equal(Forward))
+		l.Expect(v.Server).To(Equal(next))
+	}
+}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -44,6 +44,17 @@
 	request request
 }
 
+// maxSeqDistance is the distance of a sequence number from the end of the data seen
+// above which a packet belongs to another flow, or the flow went on at another
+// instance. Callers have at most 16 packets of 1,200 bytes in flight.
+const maxSeqDistance = 1 << 17
+
+// covers reports whether a sequence number is likely to belong to the flow.
+func (f *flowEntry) covers(seq uint32) bool {
+	d := int32(seq - f.nextSeq)
+	return -maxSeqDistance <= d && d <= maxSeqDistance
+}
+
 // request is the last request of a flow.
 type request struct {
 	inFlight       bool          // counted in serverState.inFlight
--- a/node/edge/answer.go
+++ b/node/edge/answer.go
@@ -13,7 +13,13 @@
 )
 
 // answer handles a call of a peer or an operator.
-func (i *Instance) answer(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (i *Instance) answer(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "the call failed; see the log of the instance"}
+	i.contain("call "+r.Method, func() { result, err = i.dispatch(r) })
+	return result, err
+}
+
+func (i *Instance) dispatch(r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodCatalogSince:
 		p, err := params[sinceParams](r)
--- a/node/edge/calls.go
+++ b/node/edge/calls.go
@@ -99,14 +99,17 @@
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	slots := make(chan struct{}, maxCalls)
+	var f failures
 	for {
 		conn, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
-			return trace.Wrap(err, "accept calls on %s", l.Addr())
+			again, err := f.retry(ctx, i, "accept calls on "+l.Addr().String(), err)
+			if !again {
+				return err
+			}
+			continue
 		}
+		f = failures{}
 		select {
 		case slots <- struct{}{}:
 			go func() {
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -52,7 +52,8 @@
 func (i *Instance) follow(ctx context.Context) error {
 	var r readState
 	for {
-		pause := i.readWhenDue(ctx, &r)
+		pause := maxRetryPause
+		i.contain("read of the store", func() { pause = i.readWhenDue(ctx, &r) })
 		select {
 		case <-ctx.Done():
 			return nil
@@ -89,7 +90,6 @@
 		r.retryPause = 0
 		i.metrics.storeReads.Observe((i.clock.now() - began).Seconds())
 	} else {
-		i.store.Reconnect()
 		r.retryPause = min(max(2*r.retryPause, firstRetryPause), maxRetryPause)
 		pause = r.retryPause
 	}
@@ -147,8 +147,6 @@
 	loaded, known := i.catalog.Loaded(), i.catalog.Revision()
 	i.mu.Unlock()
 	if !loaded {
-		// The source usually sends what has changed since the stale pages before
-		// the next read is due.
 		return i.load(ctx)
 	}
 	at := i.clock.now()
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -38,23 +38,17 @@
 	RequestID(packet []byte) []byte
 }
 
-// Store reads the settings store. Revision and Page are linearizable, except
-// for stale pages.
+// Store reads the settings store. Reads of Revision and Page are linearizable.
 type Store interface {
 	// Revision returns the current revision of the store.
 	Revision(ctx context.Context) (catalog.Revision, error)
 	// Page reads the part of the configuration and the servers that follows a
 	// position, "" for the first page. next is the position after the page, ""
-	// after the last one. Positions are ordered as strings. A stale page may be
-	// some seconds old and does not count against the rate limit of the store.
-	Page(ctx context.Context, after string, stale bool) (ch *catalog.Change, next string, err error)
-	// RandomPosition returns a random position in the format of a known one.
-	RandomPosition(known string) string
+	// after the last one.
+	Page(ctx context.Context, after string) (ch *catalog.Change, next string, err error)
 	// Since returns changes after a revision. There may be more after the revision
 	// of the result.
 	Since(ctx context.Context, after catalog.Revision) (*catalog.Change, error)
-	// Reconnect makes the next call open a new connection.
-	Reconnect()
 }
 
 // Options are the parameters of an instance.
@@ -210,7 +204,7 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
-		i.doHousekeeping()
+		i.contain("housekeeping", i.doHousekeeping)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -53,10 +53,11 @@
 
 // fakeStore has one change that all reads return.
 type fakeStore struct {
-	mu    sync.Mutex
-	state *catalog.Change
-	err   error
-	calls int
+	mu     sync.Mutex
+	state  *catalog.Change
+	err    error
+	panics int // number of reads that panic
+	calls  int
 }
 
 var errStoreAway = errors.New("store unreachable")
@@ -65,6 +66,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.panics > 0 {
+		s.panics--
+		panic("malformed item")
+	}
 	if s.err != nil {
 		return nil, s.err
 	}
@@ -100,17 +105,14 @@
 	return c.Revision, nil
 }
 
-func (s *fakeStore) Page(context.Context, string, bool) (*catalog.Change, string, error) {
+func (s *fakeStore) Page(context.Context, string) (*catalog.Change, string, error) {
 	c, err := s.read()
 	return c, "", err
 }
 
-func (*fakeStore) RandomPosition(known string) string { return known }
-
 func (s *fakeStore) Since(context.Context, catalog.Revision) (*catalog.Change, error) {
 	return nil, errors.New("no history")
 }
-func (*fakeStore) Reconnect() {}
 
 // logBuffer is a log that can be read while it is written.
 type logBuffer struct {
@@ -134,11 +136,12 @@
 // of a test.
 type harness struct {
 	*WithT
-	t      *testing.T
-	net    byte
-	dest   netip.AddrPort
-	store  *fakeStore
-	server *net.UDPConn
+	t       *testing.T
+	net     byte
+	dest    netip.AddrPort
+	store   *fakeStore
+	server  *net.UDPConn
+	packets Packets
 }
 
 // lastNet is the third byte of the last test's addresses; each test has its own.
@@ -150,7 +153,7 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: l.ip(99).AsSlice()})
 	l.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { conn.Close() })
-	l.server = conn
+	l.server, l.packets = conn, fakePackets{l.dest}
 	l.store = &fakeStore{state: &catalog.Change{
 		Revision: 5, Full: true,
 		Config: &catalog.Config{Version: 3, Routes: []catalog.Route{
@@ -188,7 +191,7 @@
 func (l *harness) start(n byte, store Store) *runningInstance {
 	log, level := &logBuffer{}, new(slog.LevelVar)
 	i, err := New(Options{
-		Settings: l.settings(n), Packets: fakePackets{l.dest}, Store: func(StoreHooks) Store { return store },
+		Settings: l.settings(n), Packets: l.packets, Store: func(StoreHooks) Store { return store },
 		Log: slog.New(slog.NewTextHandler(log, nil)), LogLevel: level, LogLinesDropped: func() uint64 { return 0 }, Seed: uint64(n),
 	})
 	l.Expect(err).NotTo(HaveOccurred())
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -58,7 +58,7 @@
 	if loaded {
 		return nil
 	}
-	err := i.loadFromStore(ctx)
+	err := i.readAll(ctx)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.catalog.Loaded() {
@@ -94,63 +94,27 @@
 	}
 }
 
-// loadFromStore reads the catalog. The pages after the first one are stale and
-// start at a random position: new flows are placed before all pages are read, and
-// instances that start together place them on different servers.
-func (i *Instance) loadFromStore(ctx context.Context) error {
-	at := i.clock.now()
-	all, next, err := i.page(ctx, "", false)
-	if err != nil {
-		return err
-	}
-	all.Full = true
-	if next == "" {
-		i.applyFromStore(at, all)
-		return nil
-	}
-	i.addPartial(at, all)
-	start := max(next, i.store.RandomPosition(next))
-	for _, part := range [][2]string{{start, ""}, {next, start}} {
-		if part[0] == part[1] {
-			continue
-		}
-		if err := i.pages(ctx, part[0], part[1], true, all); err != nil {
-			return err
-		}
-	}
-	i.applyFromStore(1, all) // the age of the stale pages is unknown
-	return nil
-}
-
-// readAll reads the whole catalog again, for when the store cannot return the
-// changes since the known revision.
+// readAll reads the whole catalog, at the start or when the store cannot return
+// the changes since the known revision. At the start new flows are placed on the
+// servers of the pages that have been read. The result is complete up to the
+// lowest revision of any page.
 func (i *Instance) readAll(ctx context.Context) error {
-	at := i.clock.now()
+	began := i.clock.now()
 	all := &catalog.Change{Full: true, Revision: math.MaxUint64}
-	if err := i.pages(ctx, "", "", false, all); err != nil {
-		return err
-	}
-	i.applyFromStore(at, all)
-	return nil
-}
-
-// pages reads the pages after one position up to another or, with until "", to
-// the last one, and appends them to all. The result is complete up to the lowest
-// revision of any page.
-func (i *Instance) pages(ctx context.Context, after, until string, stale bool, all *catalog.Change) error {
-	for {
+	for after := ""; ; {
 		at := i.clock.now()
-		ch, next, err := i.page(ctx, after, stale)
+		page, next, err := i.page(ctx, after)
 		if err != nil {
 			return err
 		}
-		i.addPartial(at, ch)
-		all.Revision = min(all.Revision, ch.Revision)
-		all.Servers = append(all.Servers, ch.Servers...)
-		if ch.Config != nil && (all.Config == nil || ch.Config.Version > all.Config.Version) {
-			all.Config = ch.Config
+		i.addPartial(at, page)
+		all.Revision = min(all.Revision, page.Revision)
+		all.Servers = append(all.Servers, page.Servers...)
+		if page.Config != nil {
+			all.Config = page.Config
 		}
-		if next == "" || until != "" && next >= until {
+		if next == "" {
+			i.applyFromStore(began, all)
 			return nil
 		}
 		after = next
@@ -158,7 +122,7 @@
 }
 
 // page reads one page, with retries.
-func (i *Instance) page(ctx context.Context, after string, stale bool) (ch *catalog.Change, next string, err error) {
+func (i *Instance) page(ctx context.Context, after string) (ch *catalog.Change, next string, err error) {
 	pause := firstPagePause
 	for try := range maxPageTries {
 		if try > 0 {
@@ -166,11 +130,10 @@
 				return nil, "", err
 			}
 			pause *= 2
-			i.store.Reconnect()
 		}
 		began := i.clock.now()
 		call, cancel := withLimits(ctx, pageSilence<<try, maxReadTime)
-		ch, next, err = i.store.Page(call, after, stale)
+		ch, next, err = i.store.Page(call, after)
 		err = progress.Cause(call, err)
 		cancel()
 		if err == nil {
--- a/node/edge/metrics.go
+++ b/node/edge/metrics.go
@@ -20,6 +20,7 @@
 	malformed  prometheus.Counter
 	sendErrors prometheus.Counter
 	holdFull   prometheus.Counter
+	panics     prometheus.Counter
 }
 
 func newMetrics(i *Instance, logLost func() uint64) *metrics {
@@ -55,6 +56,7 @@
 	m.malformed = counter("malformed_packets_total", "Packets that could not be read.")
 	m.sendErrors = counter("send_errors_total", "Datagrams that the kernel refused.")
 	m.holdFull = counter("hold_full_total", "Packets lost because the hold buffer was full.")
+	m.panics = counter("panics_total", "Failures of the program that were contained.")
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that did not fit the buffer.",
 	}, func() float64 { return float64(logLost()) }))
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/netip"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/core/steer"
 )
 
@@ -40,19 +36,10 @@
 
 // receivePackets handles packets until ctx is done.
 func (i *Instance) receivePackets(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { i.socket.Close() })
-	defer stop()
-	in, out := make([]byte, readBuffer), make([]byte, 0, readBuffer)
-	for {
-		n, _, err := i.socket.ReadFromUDPAddrPort(in)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return trace.Wrap(err, "read packets on %s", i.settings.Packets)
-		}
-		i.handlePacket(i.clock.now(), in[:n], out)
-	}
+	out := make([]byte, 0, readBuffer)
+	return i.receive(ctx, i.socket, "packet", func(_ netip.AddrPort, datagram []byte) {
+		i.handlePacket(i.clock.now(), datagram, out)
+	})
 }
 
 // handlePacket decides on one packet and executes the decision. out is a scratch
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"egrettack.example/core/catalog"
 	"egrettack.example/core/fleet"
 	wire "egrettack.example/wire/fleet"
@@ -75,19 +72,9 @@
 
 // receivePeers handles the messages of peers until ctx is done.
 func (i *Instance) receivePeers(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { i.peers.conn.Close() })
-	defer stop()
-	b := make([]byte, readBuffer)
-	for {
-		n, from, err := i.peers.conn.ReadFromUDPAddrPort(b)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return trace.Wrap(err, "read peer messages")
-		}
-		i.handlePeerMessage(ctx, from.Addr().Unmap(), b[:n])
-	}
+	return i.receive(ctx, i.peers.conn, "peer message", func(from netip.AddrPort, datagram []byte) {
+		i.handlePeerMessage(ctx, from.Addr().Unmap(), datagram)
+	})
 }
 
 // handlePeerMessage handles one datagram of a peer.
@@ -156,7 +143,7 @@
 	}
 	if !i.peers.pulling && i.mayPull(now) {
 		i.peers.pulling = true
-		i.peers.background(func() { i.pullChanges(ctx, from) })
+		i.peers.background(func() { i.contain("pull", func() { i.pullChanges(ctx, from) }) })
 	}
 }
 
@@ -169,19 +156,23 @@
 
 // pullChanges fetches the changes that a peer has and this instance lacks.
 func (i *Instance) pullChanges(ctx context.Context, from netip.Addr) {
+	defer func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.peers.pulling = false
+	}()
 	i.mu.Lock()
 	have := i.requestPosition()
 	i.mu.Unlock()
 	began := i.clock.now()
 	c, err := i.peers.fetchChange(ctx, netip.AddrPortFrom(from, i.peers.port), have)
-	now := i.clock.now()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.peers.pulling = false
 	if err != nil {
 		i.log.Info("changes not pulled", "peer", from, "error", err)
 		return
 	}
+	now := i.clock.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if c.After > i.catalog.Revision() && !c.Change.Full {
 		return
 	}
--- a/node/edge/simulation_test.go
+++ b/node/edge/simulation_test.go
@@ -481,19 +481,15 @@
 	return ch.Revision, nil
 }
 
-func (s storeClient) Page(ctx context.Context, _ string, _ bool) (*catalog.Change, string, error) {
+func (s storeClient) Page(ctx context.Context, _ string) (*catalog.Change, string, error) {
 	ch, err := s.read(ctx, routeBytes*len(s.m.sim.lastConfig().Routes)+s.m.sim.serverBytes)
 	return ch, "", err
 }
 
-func (s storeClient) RandomPosition(known string) string { return known }
-
 func (s storeClient) Since(ctx context.Context, _ catalog.Revision) (*catalog.Change, error) {
 	return s.readConfig(ctx)
 }
 
-func (storeClient) Reconnect() {}
-
 // totalStoreCalls returns the number of calls of all members to the store so far.
 func (w *simulation) totalStoreCalls() (n int) {
 	for _, m := range w.members {
