Read the store first at a start, with a limit on size, then wait for peers

Change: peers that run already get 30 ms to answer. Then the store is read, and the read is given up when the size of the answer is known and would take more than 0.1 s over the own link, or when it does not arrive at about the rate of the link, since another link holds it up. Only then the instance waits for larger peers. node/progress has the limit (WithRate, ReportSize); the client of the store reports the size of an answer.

--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -65,7 +65,10 @@
 // StoreHooks are functions that the client of the store invokes.
 type StoreHooks struct {
 	Call func(kind string, err error) // after each call, with its kind and result
-	Data func(ctx context.Context)    // when a part of an answer has arrived, with the context of the call
+	// Size is invoked when an answer begins, with the context of the call and the
+	// size in bytes, -1 if that is not known.
+	Size func(ctx context.Context, bytes int64)
+	Data func(ctx context.Context) // when a part of an answer has arrived, with the context of the call
 }
 
 // Instance is a running instance.
@@ -78,6 +81,7 @@
 	metrics  *metrics
 	socket   *net.UDPConn
 	slowLink bool                                             // see isSlowLink
+	linkRate float64                                          // of the link, bytes per second
 	random   *rand.Rand                                       // jitter of the store reads
 	sleep    func(ctx context.Context, d time.Duration) error // returns early with an error when ctx is done
 
@@ -122,6 +126,7 @@
 		settings: s, packets: o.Packets, log: o.Log, level: o.LogLevel,
 		clock:            clk,
 		slowLink:         isSlowLink(s.LinkMbps),
+		linkRate:         s.LinkMbps * 1e6 / 8,
 		random:           rand.New(rand.NewPCG(o.Seed, 1)),
 		sleep:            sleep,
 		catalog:          c,
@@ -129,7 +134,7 @@
 		packetLogLimiter: logging.NewLimiter(packetLinesPerSecond),
 	}
 	i.metrics = newMetrics(i, o.LogLinesDropped)
-	i.store = o.Store(StoreHooks{Call: i.metrics.countStoreCall, Data: progress.Report})
+	i.store = o.Store(StoreHooks{Call: i.metrics.countStoreCall, Size: progress.ReportSize, Data: progress.Report})
 	i.peers = peers{
 		port:        uint16(s.InternalPorts[0]),
 		followers:   make(map[netip.Addr]follower),
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/netip"
 	"time"
@@ -23,13 +24,15 @@
 	firstPageTimeout = 300 * time.Millisecond
 	// pageBytes is the largest size of a page.
 	pageBytes = 1.4e6
-	// slowPageTime is the time of a page on the link of an instance above which
-	// peers are asked first: they send the same in a tenth of the bytes.
+	// slowPageTime is the longest time that a page may take over a slow link while
+	// peers may have the catalog.
 	slowPageTime = 100 * time.Millisecond
 	// startSpread is the time within which the instances of a fleet start.
 	startSpread = 300 * time.Millisecond
 	// maxLoadTime limits the time that a larger instance needs to load its catalog.
 	maxLoadTime = 500 * time.Millisecond
+	// calmReplyTime is the time within which peers that run already reply.
+	calmReplyTime = 30 * time.Millisecond
 	// firstReplyTime is the time within which a seed replies that started last.
 	firstReplyTime = startSpread + 50*time.Millisecond
 	// peerPollInterval is the interval at which the wait for peers is reviewed.
@@ -41,14 +44,10 @@
 	firstPagePause = 50 * time.Millisecond
 )
 
-// load fills the empty catalog, from a peer if one is likely to be faster than the
-// store.
+// load fills the empty catalog. Over a slow link it first asks peers, which send
+// the same in a tenth of the bytes, gives up a read of the store that takes long,
+// and waits for peers again before it reads the store whatever that takes.
 func (i *Instance) load(ctx context.Context) error {
-	if i.slowLink {
-		if err := i.awaitPeers(ctx); err != nil {
-			return err
-		}
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	i.mu.Lock()
@@ -58,7 +57,7 @@
 	if loaded {
 		return nil
 	}
-	err := i.readAll(ctx)
+	err := i.loadFromStore(ctx)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.catalog.Loaded() {
@@ -67,29 +66,52 @@
 	return err
 }
 
+func (i *Instance) loadFromStore(ctx context.Context) error {
+	if !i.slowLink {
+		return i.readAll(ctx)
+	}
+	if loaded, err := i.awaitPeers(ctx, calmReplyTime, false); loaded || err != nil {
+		return err
+	}
+	quick, cancel := progress.WithRate(ctx, i.linkRate, slowPageTime)
+	err := i.readAll(quick)
+	cancel()
+	if !errors.Is(err, progress.ErrSlow) {
+		return err
+	}
+	i.log.Info("store is slow to read; waiting for peers")
+	if loaded, err := i.awaitPeers(ctx, firstReplyTime, true); loaded || err != nil {
+		return err
+	}
+	return i.readAll(ctx)
+}
+
 // isSlowLink reports whether a page takes long over a link.
 func isSlowLink(mbps float64) bool { return pageBytes*8/(mbps*1e6) > slowPageTime.Seconds() }
 
-// awaitPeers waits while peers are likely to deliver the catalog sooner than the
-// store: one that has it is known, or a larger one that reads it first.
-func (i *Instance) awaitPeers(ctx context.Context) error {
+// awaitPeers waits for peers to deliver the catalog: as long as one is known that
+// has it or, with larger set, one that is larger and reads it first; otherwise for
+// the time that first replies take. It reports whether the catalog is loaded.
+func (i *Instance) awaitPeers(ctx context.Context, firstReplies time.Duration, larger bool) (loaded bool, err error) {
 	began := i.clock.now()
 	for {
 		i.mu.Lock()
-		loaded := i.catalog.Loaded()
-		expected := i.peers.completePeerKnown || i.peers.fleet.KnowsLarger()
-		knowsMany := i.peers.fleet.KnowsMany()
+		expected, pointless := i.peers.completePeerKnown, false
+		loaded = i.catalog.Loaded()
+		if larger {
+			expected = expected || i.peers.fleet.KnowsLarger()
+			pointless = !expected && i.peers.fleet.KnowsMany()
+		}
 		i.mu.Unlock()
-		waited := i.clock.now() - began
-		limit := startSpread + maxLoadTime
-		if !expected {
-			limit = firstReplyTime
+		limit := firstReplies
+		if expected {
+			limit = startSpread + maxLoadTime
 		}
-		if loaded || waited >= limit || !expected && knowsMany {
-			return nil
+		if loaded || pointless || i.clock.now()-began >= limit {
+			return loaded, nil
 		}
 		if err := i.sleep(ctx, peerPollInterval); err != nil {
-			return err
+			return loaded, err
 		}
 	}
 }
@@ -139,8 +161,8 @@
 		if err == nil {
 			return ch, next, nil
 		}
-		if ctx.Err() != nil {
-			return nil, "", ctx.Err()
+		if ctx.Err() != nil || errors.Is(err, progress.ErrSlow) {
+			return nil, "", progress.Cause(ctx, err)
 		}
 		i.recordStoreResult(began, err)
 	}
--- a/node/progress/progress_test.go
+++ b/node/progress/progress_test.go
@@ -61,3 +61,31 @@
 		t.Errorf("got limits %s and %s", Limit(ctx), Limit(t.Context()))
 	}
 }
+
+// Guards against waiting for an answer that is too large for the link, or that
+// another link holds up, and against ending one that is not.
+func TestSlowAnswers(t *testing.T) {
+	const rate, longest = 1e6, 100 * time.Millisecond
+	for _, c := range []struct {
+		size  int64
+		takes time.Duration
+		want  error
+	}{
+		{50_000, 60 * time.Millisecond, nil},
+		{50_000, 120 * time.Millisecond, nil},
+		{50_000, 140 * time.Millisecond, ErrSlow},
+		{101_000, 0, ErrSlow},
+		{-1, time.Minute, nil}, // the size is not known
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := WithRate(t.Context(), rate, longest)
+			defer cancel()
+			ReportSize(ctx, c.size)
+			time.Sleep(c.takes)
+			synctest.Wait()
+			if got := Cause(ctx, ctx.Err()); got != c.want {
+				t.Errorf("%d bytes in %s: got %v, want %v", c.size, c.takes, got, c.want)
+			}
+		})
+	}
+}
