Let new flows wait for room at the servers, and spill by evidence

Cause: each instance placed all new flows at once, by its own counts. When many callers come at the same time (all at once after an outage, or in one domain), the queues of the servers fill, these refuse, and callers use up their three attempts within half a second while servers elsewhere are idle. A flow left its domain only when all servers there had three requests a slot more in flight by the counts of this instance, which 22 instances together reach far too late.

Without room, SYNs wait (core/pacing): those that can be in time first, then by priority; refused when their callers would give up before their turn by the measured rate. A SYN waits only as long as the copies of it that are due arrive: else its caller goes on at another instance, and is neither placed nor refused here. The number of instances of a domain comes from the members and from the source. Routes have their timeout and target latency, and the kind download.

Copies of a SYN within 60 ms, and copies of held ones, no longer go to further servers.

--- a/core/catalog/routes.go
+++ b/core/catalog/routes.go
@@ -126,7 +126,8 @@
 }
 
 func (r *Route) equal(x *Route) bool {
-	return r.Name == x.Name && r.Dest == x.Dest && r.Kind == x.Kind && r.Priority == x.Priority && slices.Equal(r.Targets, x.Targets)
+	return r.Name == x.Name && r.Dest == x.Dest && r.Kind == x.Kind && r.Priority == x.Priority &&
+		r.Timeout == x.Timeout && r.TargetLatency == x.TargetLatency && slices.Equal(r.Targets, x.Targets)
 }
 
 // hash returns a hash of all fields. The sum of the hashes of all routes does not
@@ -141,6 +142,8 @@
 	addString(r.Dest.String())
 	b = append(b, byte(r.Kind))
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Priority))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Timeout))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.TargetLatency))
 	for _, target := range r.Targets {
 		addString(target.Service)
 		b = binary.BigEndian.AppendUint64(b, uint64(target.Weight))
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -61,9 +61,10 @@
 
 // The kinds of request.
 const (
-	Safe   Kind = iota // idempotent: callers retry after any failure
-	Unsafe             // must run at most once
-	Upload             // unsafe, with a large body
+	Safe     Kind = iota // idempotent: callers retry after any failure
+	Unsafe               // must run at most once
+	Upload               // unsafe, with a large body
+	Download             // idempotent, with a large response
 )
 
 // Target is a service that receives a share of a route's new flows.
@@ -78,7 +79,11 @@
 	Dest     netip.AddrPort `cbor:"2,keyasint"`
 	Targets  []Target       `cbor:"3,keyasint"`
 	Kind     Kind           `cbor:"4,keyasint,omitempty"`
-	Priority int            `cbor:"5,keyasint,omitempty"` // as configured, 0 is the highest; decisions do not depend on it
+	Priority int            `cbor:"5,keyasint,omitempty"` // as configured, 0 is the highest
+	// Timeout is the time after which callers give up a request, and TargetLatency
+	// the time within which they want the response. They are 0 if unknown.
+	Timeout       time.Duration `cbor:"6,keyasint,omitempty"`
+	TargetLatency time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // HasTarget reports whether the service is a target of the route.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -101,6 +101,7 @@
 	storeUnreachableUntil time.Duration // ranks as unable to reach the store until then
 	unansweredSince       time.Duration // time of the first unanswered subscribe message, 0 if none
 	lastMessage           time.Duration // when this instance last got a message of it
+	domainSize            int           // by that message, of its domain
 	storeLost             bool          // by that message the store answers neither it nor its sources
 }
 
@@ -203,8 +204,16 @@
 	return m != nil && m.storeLost && now-m.lastMessage <= sourceHeardWithin
 }
 
-// DomainSize returns the number of known members of the instance's own domain,
-// including itself.
+// SetDomainSize records how many members of its domain a member knows.
+func (f *Fleet) SetDomainSize(addr netip.Addr, n int) {
+	if m := f.members[addr]; m != nil {
+		m.domainSize = n
+	}
+}
+
+// DomainSize returns the number of members of the instance's own domain, including
+// itself: those that it knows, or that its source knows, which hears of the others
+// first.
 func (f *Fleet) DomainSize() int {
 	n := 1
 	for _, m := range f.ranked {
@@ -212,6 +221,9 @@
 			n++
 		}
 	}
+	if m := f.members[f.source]; m != nil && m.Domain == f.self.Domain {
+		n = max(n, m.domainSize)
+	}
 	return n
 }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -278,3 +278,20 @@
 	// Three large members have 16 followers each, two of which are large ones.
 	g.Expect(served).To(BeNumerically(">=", large*FanOut))
 }
+
+// Guards against taking the few members known after a start for the whole domain:
+// the source has heard of all.
+func TestDomainSizeOfTheSource(t *testing.T) {
+	g := NewWithT(t)
+	f := New(Identity{Addr: addr(1), Domain: "a", Capacity: 1}, 1)
+	source := Identity{Addr: addr(2), Domain: "a", Capacity: 2}
+	f.RecordMessage(time.Second, source)
+	f.RecordMessage(time.Second, Identity{Addr: addr(3), Domain: "b"})
+	f.Tick(time.Second, StoreAccess{})
+	g.Expect(f.DomainSize()).To(Equal(2))
+	f.SetDomainSize(source.Addr, 22)
+	g.Expect(f.DomainSize()).To(Equal(22))
+	f.Remove(source.Addr)
+	f.Tick(time.Second, StoreAccess{})
+	g.Expect(f.DomainSize()).To(Equal(1))
+}
--- a/core/outlier/outlier.go
+++ b/core/outlier/outlier.go
@@ -87,6 +87,12 @@
 	return 0
 }
 
+// TypicalLatency returns the typical time to the first byte of a response. It
+// reports false while that is not known.
+func (p *ResponseProfile) TypicalLatency() (time.Duration, bool) {
+	return time.Duration(p.latency.value), p.samples >= minSamples
+}
+
 // Timeout returns how long a request may wait for its response before it counts
 // as unanswered.
 func (p *ResponseProfile) Timeout() time.Duration {
--- /dev/null
+++ b/core/pacing/pacing_test.go
@@ -0,0 +1,116 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func flow(name string, priority int, opened time.Duration) Flow[string] {
+	return Flow[string]{Value: name, Priority: priority, Opened: opened, Target: 300 * ms, Patience: 1400 * ms}
+}
+
+// drain returns the order in which the flows of a queue are placed.
+func drain(q *Queue[string], now time.Duration) (names []string) {
+	for {
+		f, ok := q.Next(now)
+		if !ok {
+			return names
+		}
+		names = append(names, f.Value)
+	}
+}
+
+// Guards against callers that have waited long enough to be late in any case and
+// make those late that have just come, against serving all just too late, and
+// against urgent work behind other work.
+func TestOrder(t *testing.T) {
+	g := NewWithT(t)
+	var q Queue[string]
+	for _, f := range []Flow[string]{
+		flow("late", 1, 0), flow("later", 1, 100*ms), flow("urgent and late", 0, 200*ms),
+		flow("first", 1, 800*ms), flow("second", 1, 750*ms), flow("urgent", 0, 900*ms),
+	} {
+		q.Add(f)
+	}
+	g.Expect(drain(&q, 1000*ms)).To(Equal([]string{"urgent", "first", "second", "urgent and late", "late", "later"}))
+}
+
+// Guards against flows that wait until their callers have given up although the
+// servers are known to be too slow for them.
+func TestRefuse(t *testing.T) {
+	g := NewWithT(t)
+	var q Queue[string]
+	q.Add(flow("gave up", 0, 0))
+	q.Add(flow("last", 1, 300*ms))
+	q.Add(flow("fresh", 1, 1400*ms))
+	q.Add(flow("second last", 1, 900*ms))
+	names := func(flows []Flow[string]) (names []string) {
+		for _, f := range flows {
+			names = append(names, f.Value)
+		}
+		return names
+	}
+	g.Expect(names(q.Refuse(1400*ms, 0))).To(ConsistOf("gave up"))
+	// Two flows a second: the second of them is placed after 0.5 s and the third
+	// after 1 s. The caller of one that was opened at 300 ms gives up after 0.3 s,
+	// the one of 900 ms after 0.9 s.
+	g.Expect(names(q.Refuse(1400*ms, 2))).To(ConsistOf("last"))
+	g.Expect(drain(&q, 1400*ms)).To(Equal([]string{"fresh", "second last"}))
+}
+
+// Guards against flows that get lost in the queue or leave it twice.
+func TestQueueKeepsAllFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[int]
+		now, added, left := time.Duration(0), 0, map[int]bool{}
+		leave := func(f Flow[int]) {
+			if left[f.Value] {
+				t.Fatalf("flow %d left twice", f.Value)
+			}
+			left[f.Value] = true
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * ms
+			switch rapid.SampledFrom([]string{"add", "add", "next", "refuse"}).Draw(t, "step") {
+			case "add":
+				q.Add(Flow[int]{Value: added, Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Opened: now, Target: 300 * ms, Patience: 1400 * ms})
+				added++
+			case "next":
+				if f, ok := q.Next(now); ok {
+					leave(f)
+				}
+			case "refuse":
+				for _, f := range q.Refuse(now, rapid.Float64Range(0, 50).Draw(t, "rate")) {
+					leave(f)
+				}
+			}
+		}
+		if len(left)+q.Len() != added {
+			t.Fatalf("%d flows were added, %d left and %d wait", added, len(left), q.Len())
+		}
+	})
+}
+
+// Guards against a flow that is placed or refused here after its caller has opened it
+// elsewhere: the copy of the SYN that was due did not arrive here.
+func TestFlowThatIsNotRenewedLapses(t *testing.T) {
+	g := NewWithT(t)
+	w := NewWaiting[string, string]()
+	for _, name := range []string{"moved", "stays"} {
+		g.Expect(w.Add(0, "feed", name, 250*ms, flow(name, 1, 0))).To(BeTrue())
+	}
+	g.Expect(w.Renew("stays", 650*ms)).To(BeTrue())
+	g.Expect(w.Renew("another", 650*ms)).To(BeFalse())
+	g.Expect(w.Lapse(250 * ms)).To(BeEmpty())
+	g.Expect(w.Lapse(251 * ms)).To(Equal([]string{"moved"}))
+	g.Expect(w.Renew("moved", 650*ms)).To(BeFalse())
+	var placed []string
+	w.Place(251*ms, func(string) bool { return true }, func(_, name string) { placed = append(placed, name) })
+	g.Expect(placed).To(Equal([]string{"stays"}))
+	g.Expect(w.Len()).To(BeZero())
+}
--- /dev/null
+++ b/core/pacing/waiting.go
@@ -0,0 +1,139 @@
+package pacing
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxWaiting limits the flows that wait.
+	maxWaiting = 1024
+	// rateWindow is the time over which the rate is measured at which the flows
+	// that wait for a service are placed. Nothing is refused before for its sake.
+	rateWindow = 300 * time.Millisecond
+)
+
+// Waiting holds the new flows that wait for room at the servers, by service. A
+// flow is identified by a key, and waits as long as it is renewed: the caller's
+// further packets may arrive elsewhere. It is not safe for concurrent use.
+type Waiting[K comparable, T any] struct {
+	byService map[string]*serviceQueue[keyed[K, T]]
+	renewBy   map[K]time.Duration // of all flows that wait
+}
+
+type keyed[K comparable, T any] struct {
+	key   K
+	value T
+}
+
+// serviceQueue is the flows that wait for one service.
+type serviceQueue[T any] struct {
+	Queue[T]
+	measuredFrom time.Duration // begin of the time over which placed is counted
+	placed       int
+}
+
+// NewWaiting returns a Waiting without flows.
+func NewWaiting[K comparable, T any]() *Waiting[K, T] {
+	return &Waiting[K, T]{byService: make(map[string]*serviceQueue[keyed[K, T]]), renewBy: make(map[K]time.Duration)}
+}
+
+// Len returns the number of flows that wait.
+func (w *Waiting[K, T]) Len() int { return len(w.renewBy) }
+
+// Renew sets the time until which the flow with a key has to be renewed. It reports
+// false if the flow does not wait.
+func (w *Waiting[K, T]) Renew(key K, by time.Duration) bool {
+	if _, ok := w.renewBy[key]; !ok {
+		return false
+	}
+	w.renewBy[key] = by
+	return true
+}
+
+// Add lets a flow wait for a service, until the time by if it is not renewed. It
+// reports false if too many wait already.
+func (w *Waiting[K, T]) Add(now time.Duration, service string, key K, by time.Duration, f Flow[T]) bool {
+	if len(w.renewBy) >= maxWaiting {
+		return false
+	}
+	q := w.byService[service]
+	if q == nil {
+		q = &serviceQueue[keyed[K, T]]{}
+		w.byService[service] = q
+	}
+	if q.Len() == 0 {
+		q.measuredFrom, q.placed = now, 0
+	}
+	q.Add(Flow[keyed[K, T]]{keyed[K, T]{key, f.Value}, f.Priority, f.Opened, f.Target, f.Patience})
+	w.renewBy[key] = by
+	return true
+}
+
+// Lapse removes and returns the flows that were not renewed in time.
+func (w *Waiting[K, T]) Lapse(now time.Duration) (lapsed []T) {
+	if len(w.renewBy) == 0 {
+		return nil
+	}
+	for _, q := range w.byService {
+		q.flows = slices.DeleteFunc(q.flows, func(f Flow[keyed[K, T]]) bool {
+			if now <= w.renewBy[f.Value.key] {
+				return false
+			}
+			delete(w.renewBy, f.Value.key)
+			lapsed = append(lapsed, f.Value.value)
+			return true
+		})
+	}
+	return lapsed
+}
+
+// Place removes flows in their order and passes them to place, as long as
+// hasRoom reports room for their service.
+func (w *Waiting[K, T]) Place(now time.Duration, hasRoom func(service string) bool, place func(service string, value T)) {
+	if len(w.renewBy) == 0 {
+		return
+	}
+	for service, q := range w.byService {
+		for q.Len() > 0 && hasRoom(service) {
+			f, _ := q.Next(now)
+			q.placed++
+			delete(w.renewBy, f.Value.key)
+			place(service, f.Value.value)
+		}
+	}
+}
+
+// Refuse removes and returns the flows that cannot be placed in time: an early
+// refusal lets the caller try again while it still can.
+func (w *Waiting[K, T]) Refuse(now time.Duration) (refused []T) {
+	if len(w.renewBy) == 0 {
+		return nil
+	}
+	for _, q := range w.byService {
+		for _, f := range q.Refuse(now, q.rate(now)) {
+			delete(w.renewBy, f.Value.key)
+			refused = append(refused, f.Value.value)
+		}
+		q.slide(now)
+	}
+	return refused
+}
+
+// rate returns the number of flows that are placed in a second, 0 if it is not
+// known yet.
+func (q *serviceQueue[T]) rate(now time.Duration) float64 {
+	if elapsed := now - q.measuredFrom; elapsed >= rateWindow {
+		return float64(q.placed) / elapsed.Seconds()
+	}
+	return 0
+}
+
+// slide moves the begin of the measured time, so that the rate is that of the last
+// two windows at most.
+func (q *serviceQueue[T]) slide(now time.Duration) {
+	if now-q.measuredFrom >= 2*rateWindow {
+		q.placed = int(q.rate(now) * rateWindow.Seconds())
+		q.measuredFrom = now - rateWindow
+	}
+}
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -93,7 +94,7 @@
 }
 
 // pool is the candidates of one service, in the instance's own failure domain
-// and in the others.
+// and in the others, by ID: with the same seed the same ones are chosen.
 type pool struct{ sameDomain, otherDomains []candidate }
 
 // pool returns the candidates of a service. All pools are rebuilt after a change
@@ -117,6 +118,9 @@
 			p.otherDomains = append(p.otherDomains, e.candidate(s))
 		}
 	}
+	byID := func(a, b candidate) int { return cmp.Compare(a.server.ID, b.server.ID) }
+	slices.SortFunc(p.sameDomain, byID)
+	slices.SortFunc(p.otherDomains, byID)
 	e.pools[service] = p
 	return p
 }
@@ -151,11 +155,11 @@
 	return x
 }
 
-// chooseServer returns the server with the lowest cost for a new flow of the
-// route, and that cost. The server is nil if there is none. Servers that f has
+// chooseServer returns the server of a service with the lowest cost for a new
+// flow, and that cost. The server is nil if there is none. Servers that f has
 // already tried come last.
-func (e *Engine) chooseServer(now time.Duration, r *catalog.Route, f *flowEntry) (*catalog.Server, float64) {
-	p := e.pool(e.chooseService(r))
+func (e *Engine) chooseServer(now time.Duration, service string, f *flowEntry) (*catalog.Server, float64) {
+	p := e.pool(service)
 	best, least := e.leastCost(now, p.sameDomain, f)
 	if best != nil && least <= crossDomainPenalty {
 		return best, least
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -24,7 +24,10 @@
 	pools           map[string]*pool // by service, built from poolsGeneration of the catalog
 	poolsGeneration uint64
 	random          *rand.Rand
-	sweepQueue      []Key // flows that the current sweep has still to check
+	sweepQueue      []Key                   // flows that the current sweep has still to check
+	instances       int                     // see SetInstances
+	spills          map[string]*spillWindow // by service
+	residences      map[string]*residence   // by service
 
 	profiles      map[netip.AddrPort]*outlier.ResponseProfile // by destination
 	lastDetection time.Duration                               // last run of detectOutliers
@@ -39,8 +42,12 @@
 		flows:    make(map[Key]*flowEntry),
 		states:   make(map[*catalog.Server]*serverState),
 		pools:    make(map[string]*pool),
+		spills:   make(map[string]*spillWindow),
 		profiles: make(map[netip.AddrPort]*outlier.ResponseProfile),
-		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
+
+		residences: make(map[string]*residence),
+
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
 	}
 }
 
@@ -60,15 +67,25 @@
 		return Verdict{Action: Reset, Reason: NoRoute}
 	}
 	if p.SYN {
-		return e.openFlow(now, p, route)
+		return e.openFlow(now, p, route, e.chooseService(route))
 	}
 	return e.deliver(now, p, route)
 }
 
+// DecideQueued decides again on a SYN that waited for room at a service. The
+// caller decides on it only when HasRoom reports room.
+func (e *Engine) DecideQueued(now time.Duration, p *Packet, service string) Verdict {
+	route := e.catalog.Route(p.Dest)
+	if route == nil || !route.HasTarget(service) {
+		return e.Decide(now, p)
+	}
+	return e.openFlow(now, p, route, service)
+}
+
 // openFlow chooses a server for a new flow. A retransmitted SYN goes to a server
-// that has not received one yet. This is safe since no server has run a request
-// of the flow.
-func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route) Verdict {
+// that has not received one yet, unless the last one has just received it. This is
+// safe since no server has run a request of the flow.
+func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route, service string) Verdict {
 	key := Key{p.Caller, p.Dest}
 	f := e.flows[key]
 	if f != nil && (f.established || f.synSeq != p.Seq) {
@@ -76,11 +93,16 @@
 		e.removeFlow(key, f)
 		f = nil
 	}
-	s, cost := e.chooseServer(now, route, f)
-	if s == nil && !e.catalog.Loaded() {
-		return Verdict{Action: Hold, Reason: NotLoaded}
+	if f != nil && now-f.lastPacket < unresponsiveAfter {
+		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
 	}
-	if s == nil {
+	at := e.place(now, service, f)
+	switch s := at.server; {
+	case at.wait:
+		return Verdict{Action: Queue, Reason: NoRoom, Service: service}
+	case s == nil && !e.catalog.Loaded():
+		return Verdict{Action: Hold, Reason: NotLoaded}
+	case s == nil:
 		return Verdict{Action: Reset, Reason: NoServer}
 	}
 	if f == nil {
@@ -90,10 +112,13 @@
 		e.state(f.server).silence.add(now)
 	}
 	f.lastPacket = now
-	e.assign(now, f, s)
-	f.tried = append(f.tried, s)
-	e.state(s).synSent(now)
-	return Verdict{Action: Forward, Reason: Placed, Server: s, Load: cost}
+	e.assign(now, f, at.server)
+	f.tried = append(f.tried, at.server)
+	if at.spilled {
+		e.beginSpill(f, service)
+	}
+	e.state(at.server).synSent(now)
+	return Verdict{Action: Forward, Reason: Placed, Server: at.server, Load: at.cost, Service: service}
 }
 
 // deliver forwards a packet of an open flow to the server that its token
@@ -107,10 +132,11 @@
 		e.removeFlow(key, f)
 		f = nil
 	}
-	if f != nil && len(f.tried) > 1 && f.established {
-		// Several servers may have answered the SYN and its retransmissions. The
-		// caller returns the token that it received last, but the flow is open at
-		// the server that the first packet after the handshake went to.
+	if f != nil && len(f.tried) > 0 && f.established {
+		// Several servers may have answered the SYN and its retransmissions, also by
+		// way of another instance. The caller returns the token that it received
+		// last, but the flow is open at the server that the first packet after the
+		// handshake went to.
 		s = f.server
 	}
 	if s != nil {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -40,6 +40,8 @@
 	highestAck  uint32            // highest acknowledgement seen
 	established bool              // a packet after the handshake was seen
 	lastPacket  time.Duration
+	handshake   time.Duration // from the SYN to the first packet after the handshake, 0 if not known
+	spill       spill
 
 	request request
 }
@@ -58,6 +60,7 @@
 // request is the last request of a flow.
 type request struct {
 	inFlight       bool          // counted in serverState.inFlight
+	inFlightSince  time.Duration // when the count began
 	outcomePending bool          // its outcome is still to be recorded
 	ackBefore      uint32        // the caller's acknowledgement before the response
 	startedAt      time.Duration // time of the last request data, or of the SYN before the first data
@@ -77,7 +80,7 @@
 
 func (e *Engine) beginRequest(now time.Duration, f *flowEntry) {
 	if !f.request.inFlight {
-		f.request.inFlight = true
+		f.request.inFlight, f.request.inFlightSince = true, now
 		e.state(f.server).inFlight++
 	}
 	f.request.startedAt = now
@@ -131,10 +134,15 @@
 	if !r.outcomePending {
 		return
 	}
-	score := e.profile(dest).Score(outlier.Outcome{
+	profile := e.profile(dest)
+	score := profile.Score(outlier.Outcome{
 		Responded: r.respondedAt > 0, ResponseBytes: int(f.highestAck - r.ackBefore), TimeToFirstByte: r.respondedAt - r.startedAt,
 	})
 	e.state(f.server).history.Add(now, score)
+	if _, known := profile.TypicalLatency(); known && score == 0 {
+		e.noteResidence(f)
+	}
+	f.judgeSpill(profile, score, r.respondedAt-r.startedAt)
 	r.outcomePending, r.respondedAt = false, 0
 }
 
@@ -143,6 +151,7 @@
 		return
 	}
 	e.endRequest(f)
+	f.endSpill()
 	e.state(f.server).openFlows--
 	f.server, f.request.outcomePending, f.request.respondedAt = nil, false, 0
 }
@@ -182,6 +191,9 @@
 		f.server = s
 		e.state(s).openFlows++
 	}
+	if !f.established {
+		f.noteHandshake(now)
+	}
 	f.lastPacket = now
 	// Sequence numbers wrap around.
 	if progress := int32(p.Ack-f.highestAck) > 0; !f.established || progress {
@@ -190,6 +202,7 @@
 			if r.inFlight {
 				responseTime = now - r.startedAt
 				e.endRequest(f)
+				f.endSpill()
 			}
 			if r.outcomePending && r.respondedAt == 0 {
 				r.respondedAt = now
@@ -214,6 +227,7 @@
 	waited := now - f.request.startedAt
 	if waited > maxRequestTime {
 		e.endRequest(f)
+		f.endSpill()
 	}
 	if f.request.outcomePending && waited > e.profile(dest).Timeout() {
 		e.recordOutcome(now, dest, f)
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -35,10 +35,11 @@
 	Forward
 	Reset // reset the flow towards the caller
 	Hold  // keep the packet and decide again when the catalog has been updated
+	Queue // keep the SYN and decide again when the servers have room
 	numActions
 )
 
-var actionNames = [numActions]string{"drop", "forward", "reset", "hold"}
+var actionNames = [numActions]string{"drop", "forward", "reset", "hold", "queue"}
 
 func (a Action) String() string { return actionNames[a] }
 
@@ -56,11 +57,14 @@
 	ServerGone                 // the server of the flow has certainly ended
 	WrongService               // the token identifies a server of another service
 	NoToken                    // a packet of an open flow without a token
+	NoRoom                     // the servers have as much work as they can do in time
+	Duplicate                  // a copy of a SYN that was forwarded just before
+	NotRepeated                // a SYN that waited, and whose next copy did not arrive
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
-	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token",
+	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token", "no_room", "duplicate", "not_repeated",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
@@ -73,6 +77,8 @@
 	// Load is the cost of the server chosen for a new flow: its load with one
 	// more request, as a multiple of its slots, plus penalties.
 	Load float64
+	// Service is the service chosen for a new flow.
+	Service string
 	// ResponseTime is that of the request whose response the packet
 	// acknowledges, 0 if it acknowledges none.
 	ResponseTime time.Duration
--- a/core/steer/review.go
+++ b/core/steer/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,7 +66,8 @@
 // have no pool yet. It returns the servers that became outliers or ceased to be.
 func (e *Engine) detectOutliers(now time.Duration) []OutlierEvent {
 	var events []OutlierEvent
-	for _, p := range e.pools {
+	for _, service := range slices.Sorted(maps.Keys(e.pools)) {
+		p := e.pools[service]
 		all := slices.Concat(p.sameDomain, p.otherDomains)
 		computeExcess(now, all)
 		for i := range all {
--- /dev/null
+++ b/core/steer/room.go
@@ -0,0 +1,142 @@
+package steer
+
+import (
+	"time"
+
+	"egrettack.example/core/catalog"
+	"egrettack.example/core/outlier"
+)
+
+const (
+	// maxLoad is the load of the servers of a service, in requests at the servers for
+	// each slot, above which new flows go to other failure domains or wait at the instances.
+	// It keeps all slots at work when the requests are spread unevenly, and leaves
+	// room in the queues of the servers, which refuse what exceeds them.
+	maxLoad = 2.5
+	// minRoom is the number of requests that an instance may have in flight in any
+	// case: with few requests an instance its share says little of the load.
+	minRoom = 3
+	// spillGrowth is the number by which the window of a service grows with a
+	// response in time, and spillShrink the factor by which a late one shrinks it.
+	spillGrowth = 1
+	spillShrink = 0.5
+	// lateFactor is the multiple of a route's typical latency above which a
+	// response shows that the servers have requests waiting.
+	lateFactor = 2
+)
+
+// spillWindow limits the requests in flight to servers of other failure domains
+// that go there because those of the own one have no room. What load the others
+// have is not known, and after an outage of all domains it is as high as here.
+// Therefore the window grows only while responses are in time.
+type spillWindow struct {
+	limit    float64
+	inFlight int
+}
+
+// adjust adapts the window to a response from another domain.
+func (w *spillWindow) adjust(inTime bool) {
+	if inTime {
+		w.limit += spillGrowth / w.limit
+	} else {
+		w.limit = max(1, w.limit*spillShrink)
+	}
+}
+
+// SetInstances sets the number of instances of the instance's own failure domain,
+// this one included. They have equal shares of the servers.
+func (e *Engine) SetInstances(n int) { e.instances = max(n, 1) }
+
+// HasRoom reports whether a new flow of a service can be placed now.
+func (e *Engine) HasRoom(now time.Duration, service string) bool {
+	return e.hasOwnRoom(now, service) || e.hasSpillRoom(service)
+}
+
+// hasOwnRoom reports whether the servers of a service in the instance's own domain
+// can take a new flow, as far as this instance's share of them tells: it answers
+// peaks that all instances of a domain see alike. Servers that do not respond do
+// not count.
+func (e *Engine) hasOwnRoom(now time.Duration, service string) bool {
+	slots, inFlight := 0, 0
+	p := e.pool(service)
+	for i := range p.sameDomain {
+		c := &p.sameDomain[i]
+		if c.state.silence.first > 0 || c.state.unresponsive(now) {
+			continue
+		}
+		slots += c.server.Slots
+		inFlight += c.state.inFlight
+	}
+	limit := maxLoad * float64(slots) / float64(max(e.instances, 1))
+	return slots == 0 || inFlight < minRoom || float64(inFlight)*e.residenceShare(service) < limit
+}
+
+// hasSpillRoom reports whether a new flow of a service may go to another domain.
+func (e *Engine) hasSpillRoom(service string) bool {
+	w := e.spillWindow(service)
+	return float64(w.inFlight) < w.limit && len(e.pool(service).otherDomains) > 0
+}
+
+func (e *Engine) spillWindow(service string) *spillWindow {
+	w := e.spills[service]
+	if w == nil {
+		w = &spillWindow{limit: 1}
+		e.spills[service] = w
+	}
+	return w
+}
+
+// spill is a request of a flow that was sent to another domain for lack of room.
+type spill struct {
+	window   *spillWindow // nil if there is none, or its outcome is known
+	inFlight bool         // the window counts the request
+}
+
+// beginSpill counts a request that is sent to another domain.
+func (e *Engine) beginSpill(f *flowEntry, service string) {
+	f.spill = spill{e.spillWindow(service), true}
+	f.spill.window.inFlight++
+}
+
+// endSpill ends the count of the flow's request if it is such a one.
+func (f *flowEntry) endSpill() {
+	if f.spill.inFlight {
+		f.spill.window.inFlight--
+		f.spill.inFlight = false
+	}
+}
+
+// judgeSpill adapts the window to the outcome of the flow's request if it is such a
+// one. A refusal of a full server comes as soon as a response in time.
+func (f *flowEntry) judgeSpill(p *outlier.ResponseProfile, score float64, responseTime time.Duration) {
+	if f.spill.window == nil {
+		return
+	}
+	f.endSpill()
+	typical, known := p.TypicalLatency()
+	f.spill.window.adjust(known && score == 0 && responseTime <= lateFactor*typical)
+	f.spill.window = nil
+}
+
+// placement is the server for a new flow.
+type placement struct {
+	server  *catalog.Server // nil if there is none
+	cost    float64         // of the server
+	spilled bool            // it is in another domain for lack of room
+	wait    bool            // the flow has to wait for room
+}
+
+// place chooses the server for a SYN. A new flow goes where there is room: to the
+// instance's own domain, or else to another one within the window. A flow that
+// was placed before, f, goes to another server in any case.
+func (e *Engine) place(now time.Duration, service string, f *flowEntry) placement {
+	if f != nil || e.hasOwnRoom(now, service) {
+		s, cost := e.chooseServer(now, service, f)
+		return placement{server: s, cost: cost}
+	}
+	if e.hasSpillRoom(service) {
+		s, cost := e.leastCost(now, e.pool(service).otherDomains, nil)
+		return placement{server: s, cost: cost, spilled: true}
+	}
+	return placement{wait: true}
+}
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -19,6 +19,7 @@
 
 	"egrettack.example/core/catalog"
 	"egrettack.example/core/fleet"
+	"egrettack.example/core/pacing"
 	"egrettack.example/core/steer"
 	"egrettack.example/node/logging"
 	"egrettack.example/node/progress"
@@ -91,7 +92,8 @@
 	catalog          *catalog.Catalog
 	engine           *steer.Engine
 	held             holdBuffer
-	packetLogLimiter *logging.Limiter // limits the log lines about packets
+	waiting          *pacing.Waiting[steer.Key, heldPacket] // SYNs that wait for room at the servers
+	packetLogLimiter *logging.Limiter                       // limits the log lines about packets
 
 	state state
 	peers peers
@@ -132,6 +134,7 @@
 		catalog:          c,
 		engine:           steer.New(steer.Config{Domain: s.Domain, Seed: o.Seed}, c),
 		packetLogLimiter: logging.NewLimiter(packetLinesPerSecond),
+		waiting:          pacing.NewWaiting[steer.Key, heldPacket](),
 	}
 	i.metrics = newMetrics(i, o.LogLinesDropped)
 	i.store = o.Store(StoreHooks{Call: i.metrics.countStoreCall, Size: progress.ReportSize, Data: progress.Report})
@@ -228,9 +231,12 @@
 	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.engine.SetInstances(i.peers.fleet.DomainSize())
 	i.checkOutliers(now)
 	i.catalog.Expire(now)
 	i.expireHeld(now)
+	i.placeWaiting(now)
+	i.refuseWaiting(now)
 	if !i.state.stopping {
 		i.tickPeers(now)
 	}
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -53,11 +53,17 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.state.lastPacket = now
+	if i.isWaiting(now, &p) {
+		return
+	}
 	v := i.engine.Decide(now, &p)
 	if v.ResponseTime > 0 {
 		i.metrics.requests.Observe(v.ResponseTime.Seconds())
 	}
 	i.execute(now, 0, v, &p, data, out)
+	if v.ResponseTime > 0 || p.FIN || p.RST {
+		i.placeWaiting(now)
+	}
 	if p.SYN {
 		i.metrics.decisions.Observe((i.clock.now() - now).Seconds())
 	}
@@ -65,6 +71,9 @@
 
 // execute carries out the decision on a packet that was held for the time waited.
 func (i *Instance) execute(now, waited time.Duration, v steer.Verdict, p *steer.Packet, data, out []byte) {
+	if v.Action == steer.Queue && !i.queueFlow(now, v.Service, data, p) {
+		v.Action = steer.Reset
+	}
 	i.metrics.countDecision(v)
 	switch v.Action {
 	case steer.Forward:
@@ -93,17 +102,26 @@
 	i.held.packets = append(i.held.packets, heldPacket{now, append([]byte(nil), data...), *p})
 }
 
-// retryHeld decides again on the held packets after the catalog has changed.
+// retryHeld decides again on the held packets after the catalog has changed. Of
+// several copies of a SYN only the first counts: the others would go to further
+// servers.
 func (i *Instance) retryHeld(now time.Duration) {
 	waiting := i.held.packets
 	i.held.packets = nil
+	i.engine.SetInstances(i.peers.fleet.DomainSize())
 	out := make([]byte, 0, readBuffer)
+	opened := make(map[steer.Key]bool)
 	for _, h := range waiting {
+		key := steer.Key{Caller: h.packet.Caller, Dest: h.packet.Dest}
+		if h.packet.SYN && opened[key] {
+			continue
+		}
 		v := i.engine.DecideHeld(now, h.receivedAt, &h.packet)
 		if v.Action == steer.Hold {
 			i.held.packets = append(i.held.packets, h)
 			continue
 		}
+		opened[key] = h.packet.SYN
 		i.execute(now, now-h.receivedAt, v, &h.packet, h.data, out)
 	}
 }
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -89,7 +89,7 @@
 }
 
 // drain reports the instance as not ready and forwards packets until no more
-// arrive or the grace period is nearly over.
+// arrive and none wait, or the grace period is nearly over.
 func (i *Instance) drain(ctx context.Context) {
 	began := i.clock.now()
 	i.mu.Lock()
@@ -107,9 +107,9 @@
 		}
 		now := i.clock.now()
 		i.mu.Lock()
-		quiet := now - i.state.lastPacket
+		idle := now-i.state.lastPacket > drainIdle && i.waiting.Len() == 0 && len(i.held.packets) == 0
 		i.mu.Unlock()
-		if now-began > limit || now-began > minDrainTime && quiet > drainIdle {
+		if now-began > limit || now-began > minDrainTime && idle {
 			return
 		}
 	}
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -98,6 +99,7 @@
 	}
 	i.peers.fleet.SetStoreUnreachable(now, from, m.StoreUnreachable)
 	i.peers.fleet.SetStoreLost(from, m.StoreLost)
+	i.peers.fleet.SetDomainSize(from, int(m.DomainSize))
 	i.reportStoreLost(now)
 	for k, x := range m.Members {
 		id := fleet.Identity{Addr: netip.AddrFrom4(x.Addr), Domain: m.Domains[x.Domain], Capacity: m.CapacityOf(k)}
@@ -256,7 +258,7 @@
 // datagram.
 func (i *Instance) sendToPeer(to netip.Addr, m *wire.Message) bool {
 	now := i.clock.now()
-	m.Capacity = i.peers.fleet.Self().Capacity
+	m.Capacity, m.DomainSize = i.peers.fleet.Self().Capacity, uint16(min(i.peers.fleet.DomainSize(), math.MaxUint16))
 	m.StoreUnreachable, m.StoreLost = i.storeAccess(now).Unreachable, i.storeLostByAll(now)
 	b, err := wire.Encode(m)
 	if err != nil {
--- /dev/null
+++ b/node/edge/waiting.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"time"
+
+	"egrettack.example/core/pacing"
+	"egrettack.example/core/steer"
+)
+
+const (
+	// synPatience is the time from a caller's first SYN after which it gives up the
+	// flow.
+	synPatience = 1400 * time.Millisecond
+	// copyDelay is the longest time that a copy of a SYN is late. Its caller may have
+	// gone on at another instance if it has not arrived by then.
+	copyDelay = 50 * time.Millisecond
+	// defaultTarget is the time within which callers want a response on routes that
+	// do not tell.
+	defaultTarget = 300 * time.Millisecond
+)
+
+// synAges are the times from a caller's first SYN to each copy of it.
+var synAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// nextCopyBy returns the time by which the next copy of a SYN arrives that has just
+// arrived, or by which its caller gives up.
+func nextCopyBy(now time.Duration, p *steer.Packet) time.Duration {
+	n := min(p.Retransmits, len(synAges)-1)
+	next := synPatience
+	if n+1 < len(synAges) {
+		next = synAges[n+1]
+	}
+	return now + next - synAges[n] + copyDelay
+}
+
+// isWaiting reports whether a packet is a copy of a SYN that waits for room.
+func (i *Instance) isWaiting(now time.Duration, p *steer.Packet) bool {
+	return p.SYN && i.waiting.Renew(steer.Key{Caller: p.Caller, Dest: p.Dest}, nextCopyBy(now, p))
+}
+
+// queueFlow lets a SYN wait until the servers of a service have room. It reports
+// false if too many wait already.
+func (i *Instance) queueFlow(now time.Duration, service string, data []byte, p *steer.Packet) bool {
+	f := pacing.Flow[heldPacket]{
+		Value:  heldPacket{now, append([]byte(nil), data...), *p},
+		Opened: now - synAges[min(p.Retransmits, len(synAges)-1)],
+		Target: defaultTarget, Patience: synPatience,
+	}
+	if r := i.catalog.Route(p.Dest); r != nil {
+		f.Priority = r.Priority
+		if r.TargetLatency > 0 {
+			f.Target = r.TargetLatency
+		}
+		if r.Timeout > 0 {
+			f.Patience = min(f.Patience, r.Timeout)
+		}
+	}
+	return i.waiting.Add(now, service, steer.Key{Caller: p.Caller, Dest: p.Dest}, nextCopyBy(now, p), f)
+}
+
+// placeWaiting places flows that wait, as far as there is room. Those that may have
+// been opened by way of another instance are dropped without an answer.
+func (i *Instance) placeWaiting(now time.Duration) {
+	for _, h := range i.waiting.Lapse(now) {
+		v := steer.Verdict{Action: steer.Drop, Reason: steer.NotRepeated}
+		i.execute(now, now-h.receivedAt, v, &h.packet, h.data, nil)
+	}
+	hasRoom := func(service string) bool { return i.engine.HasRoom(now, service) }
+	i.waiting.Place(now, hasRoom, func(service string, h heldPacket) {
+		v := i.engine.DecideQueued(now, &h.packet, service)
+		i.execute(now, now-h.receivedAt, v, &h.packet, h.data, make([]byte, 0, readBuffer))
+	})
+}
+
+// refuseWaiting refuses the flows that cannot be placed in time.
+func (i *Instance) refuseWaiting(now time.Duration) {
+	for _, h := range i.waiting.Refuse(now) {
+		v := steer.Verdict{Action: steer.Reset, Reason: steer.NoRoom}
+		i.execute(now, now-h.receivedAt, v, &h.packet, h.data, make([]byte, 0, readBuffer))
+	}
+}
--- /dev/null
+++ b/node/edge/waiting_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/steer"
+)
+
+// queueSYN lets a copy of a SYN wait at the instance.
+func (l *harness) queueSYN(i *runningInstance, retransmits int) {
+	data := []byte("SYN")
+	var p steer.Packet
+	l.Expect(l.packets.Decode(data, &p)).To(Succeed())
+	p.Retransmits = retransmits
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l.Expect(i.queueFlow(i.clock.now(), "feed", data, &p)).To(BeTrue())
+}
+
+// fillServers lets requests begin at the only server until it has no more room. They
+// count until maxRequestTime has passed.
+func (i *runningInstance) fillServers(dest netip.AddrPort) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.clock.now()
+	for port := uint16(1000); i.engine.HasRoom(now, "feed"); port++ {
+		p := steer.Packet{Caller: netip.AddrPortFrom(dest.Addr(), port), Dest: dest, SYN: true, Seq: 1}
+		v := i.engine.Decide(now, &p)
+		i.engine.Decide(now, &steer.Packet{Caller: p.Caller, Dest: dest, ACK: true, Seq: 2, Ack: 1, Len: 10, Token: v.Server.Token})
+	}
+}
+
+// Guards against a planned stop under load that cuts off flows that have just been
+// accepted: they wait for room at the servers when the last packet arrives.
+func TestStopPlacesWaitingFlows(t *testing.T) {
+	l := newHarness(t)
+	i := l.start(1, l.store)
+	l.Eventually(func() int { return l.readyStatus(1) }).Should(Equal(http.StatusOK))
+	i.mu.Lock()
+	i.settings.StopGrace.Duration = 5 * time.Second
+	i.mu.Unlock()
+	i.stop()
+	time.Sleep(minDrainTime - 3*tickInterval)
+	i.fillServers(l.dest)
+	l.queueSYN(i, 2)
+	l.Expect(l.receive(2 * maxHoldTime)).To(Equal("host-1 SYN"))
+}
+
+// Guards against a SYN that is placed or refused after its caller has gone on at
+// another instance: the late answer would disturb the flow that is open there.
+func TestWaitingFlowThatMovedIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	i := newIdleInstance(newBootClock(), nil)
+	i.packets = fakePackets{}
+	p := steer.Packet{SYN: true}
+	g.Expect(nextCopyBy(0, &p)).To(Equal(200*time.Millisecond + copyDelay))
+	p.Retransmits = 1
+	g.Expect(nextCopyBy(200*time.Millisecond, &p)).To(Equal(600*time.Millisecond + copyDelay))
+	p.Retransmits = 2
+	g.Expect(nextCopyBy(600*time.Millisecond, &p)).To(Equal(synPatience + copyDelay))
+	p.Retransmits = 0
+	g.Expect(i.queueFlow(0, "feed", nil, &p)).To(BeTrue())
+	p.Retransmits = 1
+	g.Expect(i.isWaiting(200*time.Millisecond, &p)).To(BeTrue())
+	i.placeWaiting(700 * time.Millisecond)
+	g.Expect(i.waiting.Len()).To(BeZero())
+}
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -54,6 +54,8 @@
 	// StoreLost means that the store answers neither the sender nor the members
 	// that it follows.
 	StoreLost bool `cbor:"15,keyasint,omitempty"`
+	// DomainSize is the number of instances of the sender's domain that it knows.
+	DomainSize uint16 `cbor:"18,keyasint,omitempty"`
 	// StoreUnreachable means that the store does not answer the sender, but others.
 	StoreUnreachable bool `cbor:"13,keyasint,omitempty"`
 	// TakesDiffs means in a Subscribe that the sender takes configurations as
