Show where the instances of a fleet disagree, complete command lines

Cause: an operator of hundreds of instances has to compare edge-status of each to find the one that is behind, and nothing compares the backend servers that they know.

Change: egrettackctl edge-fleet asks all instances that the given ones know, 16 at a time, and prints findings: not ready, older version, old knowledge, store lost, few members known, servers whose state differs or that some avoid.

Tests: TestEdgeFleet (50 instances that agree, one that is behind, one that does not answer), TestCompareServers, TestShellIntegration.

--- a/cmd/egrettackctl/app.go
+++ b/cmd/egrettackctl/app.go
@@ -40,6 +40,7 @@
 
 	out, err io.Writer
 	ctx      context.Context
+	parser   *flags.Parser
 }
 
 // command is one sub-command.
@@ -81,6 +82,13 @@
 
 func (a *app) execute(args []string) error {
 	p := flags.NewNamedParser("egrettackctl", flags.HelpFlag|flags.PassDoubleDash)
+	a.parser = p
+	p.CompletionHandler = func(items []flags.Completion) {
+		for _, item := range items {
+			fmt.Fprintln(a.out, item.Item)
+		}
+	}
+	p.ShortDescription = "check trees of settings and ask instances of egrettack"
 	p.LongDescription = "Checks trees of settings and asks instances of egrettack. " + exitCodes
 	if _, err := p.AddGroup("Common options", "", a); err != nil {
 		return err
@@ -98,6 +106,9 @@
 		{"edge-status", "print the state of instances with affinity by token", &edgeStatus{}},
 		{"edge-hosts", "print the backend servers as an instance with affinity by token knows them", &edgeHosts{}},
 		{"edge-flow", "tell which backend server holds the flows with a token", &edgeFlow{}},
+		{"edge-fleet", "ask all instances with affinity by token and print where they disagree", &edgeFleet{}},
+		{"completion", "print a script for the completion of command lines", &completion{}},
+		{"man", "print the manual page", &man{}},
 		{"drain-status", "print what is still open on leaving hosts and instances", &drain{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.text, c.text+". "+exitCodes, c.data); err != nil {
