--- a/node/progress/progress.go
+++ b/node/progress/progress.go
@@ -126,6 +126,9 @@
 		return
 	}
 	r := ctx.Value(rateKey{}).(*rateLimit)
+	if r.timer != nil {
+		r.timer.Stop() // of the answer before
+	}
 	if allowed == 0 {
 		r.cancel(ErrSlow)
 		return
--- a/node/progress/progress_test.go
+++ b/node/progress/progress_test.go
@@ -89,3 +89,20 @@
 		})
 	}
 }
+
+// Guards against a limit on one answer that ends a later one.
+func TestLimitOfEachAnswer(t *testing.T) {
+	const rate, longest = 1e6, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := WithRate(t.Context(), rate, longest)
+		defer cancel()
+		for range 4 {
+			ReportSize(ctx, 50_000)
+			time.Sleep(60 * time.Millisecond)
+		}
+		synctest.Wait()
+		if err := Cause(ctx, ctx.Err()); err != nil {
+			t.Errorf("four answers in 60 ms each: %v", err)
+		}
+	})
+}
