Find slow servers by the outcomes of a whole domain

Cause: outlier detection needs 1.5 failures within seconds at one instance, and instances told each other only of servers that they had detected themselves. With 50 instances before 80 servers of a domain each sees a server once in seven seconds: in a model with 12 of 80 servers seven times as slow, 2 instances send them a tenth of their share after one second, 50 instances all of it for 8 s. The users see it: some hosts turn slow, and lookups go on reaching them.

Ruled out: events of single outcomes that pass through the domain (need identities and memory against counting them twice).

Change: each second, and when an outlier is detected, instances tell their source and followers of the same domain the decayed requests and failures of the 12 servers with the most failures, as they and their other neighbours have seen them (core/steer/evidence.go). Only the tree of sources counts, and the numbers of a former source are dropped. Detection works on the sums. Servers without evidence count as asked when those with evidence were asked by others. Reports of the excess with their ages and hops go: in the model the sums alone do the same as both.

Tests: core/steer TestSlowServersInALargeDomain (2, 14 and 50 instances; before, 106 and 211 new flows went to slow servers from 4 to 8 s at 14 and 50, at most 28 and 29 are allowed), TestEvidenceOfNeighbours; node/edge TestEvidenceIsCountedOnce (295 members in virtual time, with changes of the source; fails when the former source's numbers stay: 80 of 40). TestOutlierReportsAreApplied, TestOutlierReportsDoNotCirculate, TestOutlierReportOfUnknownServer and TestNeighboursReceiveOutlierReports check the same of the sums as before of the reports.

What is left are requests on open flows and the first second.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -311,16 +311,19 @@
 	return addrs
 }
 
-// Neighbours returns the members of the instance's own domain that it follows or
-// that follow it.
-func (f *Fleet) Neighbours(now time.Duration) []netip.Addr {
-	var addrs []netip.Addr
+// DomainTree returns the source, if it is in the instance's own domain, and the
+// followers there. A follower may have chosen another source since its lease began.
+func (f *Fleet) DomainTree(now time.Duration) (source netip.Addr, followers []netip.Addr) {
 	for _, m := range f.ranked {
-		if m.Domain == f.self.Domain && (m.Addr == f.source || m.followerUntil > now) {
-			addrs = append(addrs, m.Addr)
+		switch {
+		case m.Domain != f.self.Domain:
+		case m.Addr == f.source:
+			source = m.Addr
+		case m.followerUntil > now:
+			followers = append(followers, m.Addr)
 		}
 	}
-	return addrs
+	return source, followers
 }
 
 // Plan lists the messages that an instance sends next.
--- a/core/outlier/outlier.go
+++ b/core/outlier/outlier.go
@@ -186,7 +186,12 @@
 // FailureRate returns the fraction of the requests that failed, which
 // priorSuccesses draws towards zero while few requests are known.
 func (h *History) FailureRate(now time.Duration) float64 {
-	requests, failures := h.Counts(now)
+	return FailureRate(h.Counts(now))
+}
+
+// FailureRate returns the fraction of decayed numbers of requests that failed, which
+// priorSuccesses draws towards zero while few requests are known.
+func FailureRate(requests, failures float64) float64 {
 	return failures / (requests + priorSuccesses)
 }
 
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -45,15 +45,12 @@
 	lastSYN             time.Duration
 	silence             silence
 
-	history        outlier.History
-	excess         float64       // by which its failure rate exceeds the baseline of the servers with recent requests
-	excessOverAll  float64       // the same with the baseline of all servers, those without requests included
-	reportedExcess float64       // excess in the outlier report in force, 0 before the first
-	reportedAt     time.Duration // when the reporting instance last observed the failures
-	penalty        float64       // cost added for failures
-	failing        bool          // by the last OutlierEvent
-
-	reportHops int // instances that have relayed the report in force, this one included
+	history       outlier.History
+	heard         []heardEvidence // of the neighbours
+	excess        float64         // by which its failure rate exceeds the baseline of the servers with recent requests
+	excessOverAll float64         // the same with the baseline of all servers, those without requests included
+	penalty       float64         // cost added for failures
+	failing       bool            // by the last OutlierEvent
 }
 
 func (e *Engine) state(s *catalog.Server) *serverState {
@@ -69,14 +66,14 @@
 type ServerLoad struct {
 	OpenFlows, InFlight int     // flows, and requests without a response, that this instance has seen
 	Unresponsive        bool    // it gets no new flows except for trials
-	ExcessFailureRate   float64 // by which its failure rate (0 to 1) exceeds the baseline, here or as reported by a peer
+	ExcessFailureRate   float64 // by which its failure rate (0 to 1) at the instances of the domain exceeds the baseline
 }
 
 // ServerLoad returns what is known of the load and the failures of a server.
 func (e *Engine) ServerLoad(now time.Duration, s *catalog.Server) ServerLoad {
 	st := e.state(s)
 	return ServerLoad{
-		OpenFlows: st.openFlows, InFlight: st.inFlight, Unresponsive: st.unresponsive(now), ExcessFailureRate: st.effectiveExcess(now),
+		OpenFlows: st.openFlows, InFlight: st.inFlight, Unresponsive: st.unresponsive(now), ExcessFailureRate: st.excess,
 	}
 }
 
--- a/node/edge/outlier.go
+++ b/node/edge/outlier.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"egrettack.example/core/steer"
@@ -9,8 +10,8 @@
 )
 
 const (
-	// reportInterval is the interval of outlier reports to the neighbours. Outliers
-	// that this instance has just detected are reported at once. With this interval and
+	// reportInterval is the interval of outlier reports to the neighbours. When an
+	// outlier is detected they are sent at once. With this interval and
 	// maxReportServers a member with 16 followers sends at most 3 KB/s.
 	reportInterval = time.Second
 	// maxReportServers is the number of servers in one message.
@@ -24,7 +25,7 @@
 	i.logOutlierEvents(events)
 	detected := false
 	for _, f := range events {
-		detected = detected || f.Failing && !f.FromPeer
+		detected = detected || f.Failing
 	}
 	if detected || now-i.peers.reportedAt >= reportInterval {
 		i.peers.reportedAt = now
@@ -32,31 +33,48 @@
 	}
 }
 
-// sendOutlierReports tells the neighbours which servers fail more requests than
-// others.
+// sendOutlierReports sends the source and the followers in the same domain what the
+// other neighbours and this instance have seen of servers that failed requests.
 func (i *Instance) sendOutlierReports(now time.Duration) {
-	reports := i.engine.OutlierReports(now, maxReportServers)
-	if len(reports) == 0 || i.state.stopping {
+	if i.state.stopping {
 		return
 	}
-	m := &wire.Message{Kind: wire.OutlierReport, Domain: i.settings.Domain}
-	for _, s := range reports {
-		m.FailingServers = append(m.FailingServers, wire.FailingServer{
-			Token: s.Token, ExcessPercent: uint8(math.Round(100 * s.ExcessFailureRate)), Age: wire.CeilMillis(s.Age), Hops: uint8(s.Hops),
+	source, followers := i.peers.fleet.DomainTree(now)
+	if source.IsValid() {
+		i.sendOutlierReport(now, source, true)
+	}
+	for _, a := range followers {
+		i.sendOutlierReport(now, a, false)
+	}
+}
+
+func (i *Instance) sendOutlierReport(now time.Duration, to netip.Addr, toSource bool) {
+	m := &wire.Message{Kind: wire.OutlierReport, Domain: i.settings.Domain, ToSource: toSource}
+	for _, x := range i.engine.Evidence(now, to, maxReportServers) {
+		m.Evidence = append(m.Evidence, wire.ServerEvidence{
+			Token: x.Token, RequestsTenths: tenths(x.Requests), FailuresTenths: tenths(x.Failures),
 		})
 	}
-	for _, a := range i.peers.fleet.Neighbours(now) {
-		i.sendToPeer(a, m)
+	if len(m.Evidence) > 0 {
+		i.sendToPeer(to, m)
 	}
 }
 
-// handleOutlierReport adds the outlier reports of a neighbour.
-func (i *Instance) handleOutlierReport(now time.Duration, m *wire.Message) {
-	for _, s := range m.FailingServers {
-		i.engine.AddOutlierReport(now, steer.OutlierReport{
-			Token: s.Token, ExcessFailureRate: float64(s.ExcessPercent) / 100, Age: s.Age.Duration(), Hops: int(s.Hops),
+func tenths(x float64) uint16 { return uint16(min(math.Round(10*x), math.MaxUint16)) }
+
+// handleOutlierReport adds the evidence of a follower or of the source in the same
+// domain. That of others is counted elsewhere in the tree.
+func (i *Instance) handleOutlierReport(now time.Duration, from netip.Addr, m *wire.Message) {
+	if m.Domain != i.settings.Domain || !m.ToSource && from != i.peers.fleet.Source() {
+		return
+	}
+	evidence := make([]steer.Evidence, 0, len(m.Evidence))
+	for _, x := range m.Evidence {
+		evidence = append(evidence, steer.Evidence{
+			Token: x.Token, Requests: float64(x.RequestsTenths) / 10, Failures: float64(x.FailuresTenths) / 10,
 		})
 	}
+	i.engine.AddEvidence(now, from, evidence)
 }
 
 // logOutlierEvents logs servers that started or stopped failing requests.
@@ -71,6 +89,6 @@
 			msg = "server fails requests"
 		}
 		i.log.Info(msg, "server", f.Server.Name, "service", f.Server.Service, "excess", f.ExcessFailureRate,
-			"heard", f.FromPeer, "asked", f.Requests, "failed", f.Failures)
+			"heard", f.FromPeers, "asked", f.Requests, "failed", f.Failures)
 	}
 }
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -121,7 +121,7 @@
 		i.handleUpdate(ctx, now, from, m)
 		i.informSource(now, from)
 	case wire.OutlierReport:
-		i.handleOutlierReport(now, m)
+		i.handleOutlierReport(now, from, m)
 	}
 }
 
@@ -345,6 +345,7 @@
 	p := i.peers.fleet.Tick(now, i.storeAccess(now))
 	if after := i.peers.fleet.Source(); after != before {
 		i.peers.sourceAsOf = i.catalog.AsOf()
+		i.engine.ForgetEvidence(before)
 		i.log.Info("source", "peer", sourceName(after), "before", sourceName(before), "members", i.peers.fleet.Size())
 	}
 	return p
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -25,7 +25,7 @@
 	Subscribe                     // requests changes and starts or renews a follower lease
 	Update                        // answers Subscribe, and carries later changes
 	Leave                         // announces the sender's stop
-	OutlierReport                 // lists backend servers that fail requests
+	OutlierReport                 // lists backend servers that failed requests
 )
 
 // MaxDatagram is the maximum size of a datagram in bytes. It avoids
@@ -61,18 +61,20 @@
 	// TakesDiffs means in a Subscribe that the sender takes configurations as
 	// differences.
 	TakesDiffs bool `cbor:"14,keyasint,omitempty"`
-	// FailingServers are the servers of an OutlierReport.
-	FailingServers []FailingServer `cbor:"12,keyasint,omitempty"`
+	// Evidence is what the sender and its other neighbours in the tree of sources have
+	// seen of servers, in an OutlierReport. ToSource means that it goes to the source
+	// of the sender, otherwise to its followers.
+	Evidence []ServerEvidence `cbor:"19,keyasint,omitempty"`
+	ToSource bool             `cbor:"20,keyasint,omitempty"`
 }
 
-// FailingServer is an incarnation of a backend server that fails more requests than
-// others.
-type FailingServer struct {
-	_             struct{} `cbor:",toarray"`
-	Token         token.Token
-	ExcessPercent uint8  // failure rate above the baseline, in percentage points
-	Age           Millis // since the last evidence
-	Hops          uint8  // number of instances that relayed it
+// ServerEvidence is the outcomes of the requests to an incarnation of a backend
+// server, with weights that decay.
+type ServerEvidence struct {
+	_              struct{} `cbor:",toarray"`
+	Token          token.Token
+	RequestsTenths uint16 // number of requests, in tenths
+	FailuresTenths uint16 // number of these that failed, in tenths
 }
 
 // Millis is a duration in milliseconds.
