Assume as many instances as servers until the others are known

An instance that has just started knows no others, takes the servers for its own, and sends them all callers at once.

Change: the engine is told whether the known instances are all of the domain, which they are once none has joined for 0.3 s. Until then there are taken to be as many as servers.

Test: core/steer TestCallersReturnToUnknownInstances, with the bounds of TestCallersReturnAfterOutage (fails before).

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -17,17 +17,18 @@
 
 // Engine decides on packets. It is not safe for concurrent use.
 type Engine struct {
-	cfg             Config
-	catalog         *catalog.Catalog
-	flows           map[Key]*flowEntry
-	states          map[*catalog.Server]*serverState
-	pools           map[string]*pool // by service, built from poolsGeneration of the catalog
-	poolsGeneration uint64
-	random          *rand.Rand
-	sweepQueue      []Key                   // flows that the current sweep has still to check
-	instances       int                     // see SetInstances
-	spills          map[string]*spillWindow // by service
-	residences      map[string]*residence   // by service
+	cfg               Config
+	catalog           *catalog.Catalog
+	flows             map[Key]*flowEntry
+	states            map[*catalog.Server]*serverState
+	pools             map[string]*pool // by service, built from poolsGeneration of the catalog
+	poolsGeneration   uint64
+	random            *rand.Rand
+	sweepQueue        []Key // flows that the current sweep has still to check
+	instances         int   // see SetInstances
+	allInstancesKnown bool
+	spills            map[string]*spillWindow // by service
+	residences        map[string]*residence   // by service
 
 	profiles      map[netip.AddrPort]*outlier.ResponseProfile // by destination
 	lastDetection time.Duration                               // last run of detectOutliers
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -52,7 +52,9 @@
 			newServer(1, "feed", "a"), newServer(2, "feed", "a"), newServer(3, "feed", "b"), newServer(4, "upload", "a"),
 		},
 	})
-	return &fixture{engine: New(Config{Domain: "a", Seed: 1}, c), catalog: c, now: time.Second}
+	l := &fixture{engine: New(Config{Domain: "a", Seed: 1}, c), catalog: c, now: time.Second}
+	l.engine.SetInstances(1, true)
+	return l
 }
 
 func (l *fixture) newCaller() netip.AddrPort {
--- a/core/steer/overload_test.go
+++ b/core/steer/overload_test.go
@@ -35,6 +35,7 @@
 	perSecond                   func(domain int, at time.Duration) float64 // requests of a domain
 	outage                      [2]time.Duration                           // the instances are down
 	lasts                       time.Duration
+	learnAfter                  time.Duration // time after the start at which an instance knows the others
 	shares                      bool          // the instances know how many share the servers
 	believed                    int           // instances that each instance counts, if not all that there are
 	callerDelay                 time.Duration // one way between a caller and an instance or server
@@ -186,8 +187,10 @@
 func (i *modelInstance) start() {
 	i.waiting = pacing.NewWaiting[Key, *modelAttempt]()
 	i.engine = New(Config{Domain: i.domain, Seed: i.run.random.Uint64()}, i.run.catalog)
+	i.engine.SetInstances(1, !i.run.shares)
 	if i.run.shares {
-		i.engine.SetInstances(max(i.run.overloadModel.instances, i.run.believed))
+		engine := i.engine
+		i.run.after(i.run.learnAfter, func() { engine.SetInstances(max(i.run.overloadModel.instances, i.run.believed), true) })
 	}
 }
 
@@ -431,6 +434,21 @@
 	}
 }
 
+// Guards against instances that send the servers all callers at once when they start,
+// before they know how many instances share the servers.
+func TestCallersReturnToUnknownInstances(t *testing.T) {
+	m := calm
+	m.outage = [2]time.Duration{3 * time.Second, 4800 * ms}
+	m.learnAfter = 500 * ms
+	with, without := playBoth(t, m)
+	if with.unserved() > with.requests/1000 {
+		t.Errorf("%d of %d requests were not served, want at most one in 1,000", with.unserved(), with.requests)
+	}
+	if with.serverRefusals > without.serverRefusals/5 {
+		t.Errorf("servers refused %d times, %d without shares", with.serverRefusals, without.serverRefusals)
+	}
+}
+
 // Guards against requests that are refused in a domain with more than its servers
 // can do while the servers of others are idle.
 func TestHotDomainSpills(t *testing.T) {
--- a/core/steer/property_test.go
+++ b/core/steer/property_test.go
@@ -43,7 +43,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := newFixtureWithout()
 		e := l.engine
-		e.SetInstances(rapid.IntRange(1, 8).Draw(t, "instances"))
+		e.SetInstances(rapid.IntRange(1, 8).Draw(t, "instances"), rapid.Bool().Draw(t, "all"))
 		for range 10 {
 			l.runRequest(feed, func(*catalog.Server) response { return normalResponse }) // makes the typical response known
 		}
--- a/core/steer/room.go
+++ b/core/steer/room.go
@@ -43,9 +43,20 @@
 	}
 }
 
-// SetInstances sets the number of instances of the instance's own failure domain,
-// this one included. They have equal shares of the servers.
-func (e *Engine) SetInstances(n int) { e.instances = max(n, 1) }
+// SetInstances sets the number of known instances of the instance's own failure
+// domain, this one included, and whether these are all. They have equal shares of the
+// servers. While others may be unknown, as after the start of a fleet, there are taken
+// to be as many as servers.
+func (e *Engine) SetInstances(n int, all bool) { e.instances, e.allInstancesKnown = n, all }
+
+// share returns the share of this instance of the slots of a number of servers.
+func (e *Engine) share(slots, servers int) float64 {
+	n := max(e.instances, 1)
+	if !e.allInstancesKnown {
+		n = max(n, servers)
+	}
+	return float64(slots) / float64(n)
+}
 
 // HasRoom reports whether a new flow of a service can be placed now.
 func (e *Engine) HasRoom(now time.Duration, service string) bool {
@@ -57,7 +68,7 @@
 // peaks that all instances of a domain see alike. Servers that do not respond do
 // not count.
 func (e *Engine) hasOwnRoom(now time.Duration, service string) bool {
-	slots, inFlight := 0, 0
+	slots, servers, inFlight := 0, 0, 0
 	p := e.pool(service)
 	for i := range p.sameDomain {
 		c := &p.sameDomain[i]
@@ -65,9 +76,10 @@
 			continue
 		}
 		slots += c.server.Slots
+		servers++
 		inFlight += c.state.inFlight
 	}
-	limit := maxLoad * float64(slots) / float64(max(e.instances, 1))
+	limit := maxLoad * e.share(slots, servers)
 	return slots == 0 || inFlight < minRoom || float64(inFlight)*e.residenceShare(service) < limit
 }
 
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -93,7 +93,8 @@
 	engine           *steer.Engine
 	held             holdBuffer
 	waiting          *pacing.Waiting[steer.Key, heldPacket] // SYNs that wait for room at the servers
-	packetLogLimiter *logging.Limiter                       // limits the log lines about packets
+	domain           domain
+	packetLogLimiter *logging.Limiter // limits the log lines about packets
 
 	state state
 	peers peers
@@ -231,7 +232,7 @@
 	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.engine.SetInstances(i.peers.fleet.DomainSize())
+	i.updateInstances(now)
 	i.checkOutliers(now)
 	i.catalog.Expire(now)
 	i.expireHeld(now)
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -108,7 +108,7 @@
 func (i *Instance) retryHeld(now time.Duration) {
 	waiting := i.held.packets
 	i.held.packets = nil
-	i.engine.SetInstances(i.peers.fleet.DomainSize())
+	i.updateInstances(now)
 	out := make([]byte, 0, readBuffer)
 	opened := make(map[steer.Key]bool)
 	for _, h := range waiting {
--- a/node/edge/waiting.go
+++ b/node/edge/waiting.go
@@ -19,6 +19,28 @@
 	defaultTarget = 300 * time.Millisecond
 )
 
+// domainKnownAfter is the time without another instance of the own domain after which
+// all of them are taken to be known, when all of the fleet has started at once. New
+// members gossip at intervals of 100 ms at first.
+const domainKnownAfter = 300 * time.Millisecond
+
+// domain is what the instance knows of the size of its domain.
+type domain struct {
+	size      int
+	changedAt time.Duration
+	known     bool // all instances of the domain have been known once
+}
+
+// updateInstances tells the engine how many instances share the servers of the domain.
+func (i *Instance) updateInstances(now time.Duration) {
+	d := &i.domain
+	if size := i.peers.fleet.DomainSize(); size != d.size {
+		d.size, d.changedAt = size, now
+	}
+	d.known = d.known || now-d.changedAt > domainKnownAfter
+	i.engine.SetInstances(d.size, d.known)
+}
+
 // synAges are the times from a caller's first SYN to each copy of it.
 var synAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
