--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -121,14 +121,17 @@
 }
 
 // fillDomain begins requests at the feed servers of the instance's own domain, two
-// with two slots each, up to maxLoad.
+// with two slots each, up to maxLoad. They have equal shares.
 func (l *fixture) fillDomain() {
+	got := map[catalog.ServerID]int{}
 	for range int(2 * 2 * maxLoad) {
 		from := l.newCaller()
 		s := l.sendSYN(from, feed, 0).Server
 		l.Expect(s.Domain).To(Equal("a"))
+		got[s.ID]++
 		l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 101, Ack: 1, Len: 50, Token: s.Token})
 	}
+	l.Expect(got[1] - got[2]).To(BeNumerically("~", 0, 1))
 }
 
 // Guards against a long queue in the instance's own domain while another domain is
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -362,11 +362,11 @@
 	l.Eventually(func() float64 {
 		a.mu.Lock()
 		// What a follower of the first instance has seen.
-		a.engine.AddEvidence(a.clock.now(), l.ip(77), []steer.Evidence{{Token: tok, Requests: 46, Failures: 30}})
+		a.engine.AddEvidence(a.clock.now(), l.ip(77), []steer.Evidence{{Token: tok, Requests: 200, Failures: 115}})
 		a.mu.Unlock()
 		return failing()
-	}, "5s", "100ms").Should(BeNumerically("~", 0.5, 0.1))
-	l.Eventually(b.log.String).Should(MatchRegexp(`msg="server fails requests" server=host-1 .*excess=0\.[456].* heard=true`))
+	}, "5s", "100ms").Should(BeNumerically("~", 0.51, 0.01))
+	l.Eventually(b.log.String).Should(MatchRegexp(`msg="server fails requests" server=host-1 .*excess=0\.5.* heard=true`))
 }
 
 // Guards against a number of store calls that grows with the number of instances.
