--- a/node/edge/fleet_test.go
+++ b/node/edge/fleet_test.go
@@ -50,6 +50,8 @@
 			// others make backupReadsPerSecond in turn.
 			const away = 8 * time.Second
 			probes := min(n, 7) * (2*int(away/maxRetryPause) + backupReadsPerSecond*int(away/time.Second))
+			// A small fleet makes no more than the probes, and three calls a member.
+			probes = min(probes, 2*min(n, 7)*int(lasts/maxRetryPause)+3*n)
 			changes := w.totalSourceChanges()
 			calls("no store for 8 s", func() { w.storeAwayUntil = w.now + away }, reads+probes)
 			if got := w.totalSourceChanges() - changes; got > n {
