Log why the server of a flow counts as gone

Catalog.Presence names the cases, and the line of a reset has it, with the entry that was judged, how long that has been missing and how long the store had been healthy. A placed flow is logged with its token. A reset for a token that names no server has its own reason, unknown_token; the test of that line expects it and the new field.

A server that lost its address shows as gone in edge-hosts. No decision on a packet changes.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -264,7 +264,7 @@
 	entry.Token = token.ForServer(uint64(entry.ID), entry.Started)
 	entry.FirstSeen, entry.MissingSince = now, 0
 	c.servers[entry.ID] = &entry
-	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Ended(holder) {
+	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Presence(holder).Ended() {
 		c.byToken[entry.Token] = &entry
 	}
 	result.Added = append(result.Added, &entry)
@@ -317,21 +317,44 @@
 	}
 }
 
-// Ended reports whether the server has certainly ended: a later incarnation
-// replaced it, another server has its address, or it was draining and its entry
-// was removed from a healthy store.
-func (c *Catalog) Ended(s *Server) bool {
-	return c.servers[s.ID] != s || s.addressTaken || s.left && c.Gone(s)
-}
+// Presence is what the catalog knows of whether an incarnation of a server runs.
+type Presence uint8
 
-// Gone reports whether the entry of the server has been missing from a healthy
-// store for longer than goneTimeout, or the server has ended. A server that is
-// gone may still be running if the store does not accept its entry.
-func (c *Catalog) Gone(s *Server) bool {
-	if c.servers[s.ID] != s {
-		return true
-	}
-	return !s.Published() && c.asOf-max(s.MissingSince, c.healthySince) > goneTimeout
+// Presences.
+const (
+	Listed       Presence = iota // it has an entry in the store
+	Unlisted                     // its entry is missing, not for long or not from a healthy store
+	Gone                         // its entry has been missing from a healthy store for longer than goneTimeout
+	Left                         // Gone, and it was draining when its entry was removed from a healthy store
+	AddressTaken                 // another server was published later with its address
+	Superseded                   // a later incarnation was published
+	numPresences
+)
+
+var presenceNames = [numPresences]string{"listed", "unlisted", "gone", "left", "address_taken", "superseded"}
+
+func (p Presence) String() string { return presenceNames[p] }
+
+// Ended reports whether the server has certainly ended. A server that is Gone may
+// still be running if the store does not accept its entry.
+func (p Presence) Ended() bool { return p == Left || p == AddressTaken || p == Superseded }
+
+// Presence returns what is known of whether the server runs.
+func (c *Catalog) Presence(s *Server) Presence {
+	gone := !s.Published() && c.asOf-max(s.MissingSince, c.healthySince) > goneTimeout
+	switch {
+	case c.servers[s.ID] != s:
+		return Superseded
+	case s.addressTaken:
+		return AddressTaken
+	case gone && s.left:
+		return Left
+	case gone:
+		return Gone
+	case !s.Published():
+		return Unlisted
+	}
+	return Listed
 }
 
 // AbsenceConfirmed reports whether a server that was not in the catalog at the given
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -86,10 +86,10 @@
 	g.Expect(s.Published()).To(BeFalse())
 	for at := 20 * second; at <= 22*second; at += second / 2 {
 		c.Confirm(at, 12)
-		g.Expect(c.Gone(s)).To(BeFalse(), "at %s", at)
+		g.Expect(c.Presence(s)).To(Equal(Unlisted), "at %s", at)
 	}
 	c.Confirm(23*second, 12)
-	g.Expect(c.Gone(s)).To(BeTrue())
+	g.Expect(c.Presence(s)).To(Equal(Gone))
 }
 
 // Guards against servers that never count as gone because the store is read less
@@ -104,9 +104,9 @@
 		c.Confirm(at, 10)
 	}
 	c.Apply(16*second, 16*second, 16*second, &Change{Revision: 11, Removed: []Removal{{ID: 1, Revision: 11}}})
-	g.Expect(c.Gone(s)).To(BeFalse())
+	g.Expect(c.Presence(s)).To(Equal(Unlisted))
 	c.Confirm(19*second, 11)
-	g.Expect(c.Gone(s)).To(BeTrue())
+	g.Expect(c.Presence(s)).To(Equal(Gone))
 }
 
 // Guards against too few servers right after a store outage. Entries that
@@ -165,7 +165,7 @@
 	restarted.Started = 9000
 	c.Apply(2*second, 2*second, 2*second, &Change{Revision: 12, Servers: []Server{restarted}})
 	g.Expect(c.ByToken(token.ForServer(1, 1001))).To(BeIdenticalTo(old), "packets of old flows still find the old incarnation")
-	g.Expect(c.Gone(old)).To(BeTrue())
+	g.Expect(c.Presence(old)).To(Equal(Superseded))
 	g.Expect(c.ServersOf("feed")).To(HaveLen(1))
 	g.Expect(c.ServersOf("feed")[0].Token).To(Equal(token.ForServer(1, 9000)))
 	g.Expect(c.Active(old)).To(BeFalse())
@@ -181,14 +181,14 @@
 	next.Addr = old.Addr
 	c.Apply(2*second, 2*second, 2*second, &Change{Revision: 12, Servers: []Server{next}})
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2), ServerID(7)))
-	g.Expect(c.Ended(old)).To(BeTrue())
-	g.Expect(c.Ended(c.servers[7])).To(BeFalse())
+	g.Expect(c.Presence(old)).To(Equal(AddressTaken))
+	g.Expect(c.Presence(c.servers[7])).To(Equal(Listed))
 	// The entry of the old server is refreshed by nobody, but the new one leaves.
 	for at := 2 * second; at < 5*second; at += second {
 		c.Confirm(at, 12)
 	}
 	c.Apply(5*second, 5*second, 5*second, &Change{Revision: 13, Removed: []Removal{{ID: 7, Revision: 13}}})
-	g.Expect(c.Ended(c.servers[7])).To(BeFalse(), "nobody has its address")
+	g.Expect(c.Presence(c.servers[7])).To(Equal(Unlisted), "nobody has its address")
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2)), "the first server does not return")
 }
 
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -152,14 +152,16 @@
 		return Verdict{Action: Hold, Reason: UnknownToken}
 	case !e.catalog.MayHaveFlows(route, s.Service):
 		return Verdict{Action: Drop, Reason: WrongService}
-	case e.catalog.Ended(s) || e.catalog.Gone(s) && e.state(s).silence.confirmed(now):
+	}
+	if presence := e.catalog.Presence(s); presence.Ended() || presence == catalog.Gone && e.state(s).silence.confirmed(now) {
 		// A server without an entry may still be running, so its flows are only
 		// reset while it is silent.
 		e.removeFlowByKey(key)
+		v := Verdict{Action: Reset, Reason: ServerGone, Server: s, Presence: presence}
 		if p.RST {
-			return Verdict{Action: Drop, Reason: ServerGone, Server: s}
+			v.Action = Drop
 		}
-		return Verdict{Action: Reset, Reason: ServerGone, Server: s}
+		return v
 	}
 	return Verdict{Action: Forward, Reason: Token, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
 }
@@ -171,7 +173,7 @@
 	if v.Action == Hold && !p.SYN && e.catalog.Complete() && e.catalog.AbsenceConfirmed(heldAt) {
 		// The store was read since the packet arrived, and none of its servers
 		// has the token.
-		return Verdict{Action: Reset, Reason: ServerGone}
+		return Verdict{Action: Reset, Reason: UnknownToken}
 	}
 	return v
 }
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -243,6 +243,7 @@
 	v := l.completeHandshake(l.newCaller(), feed, old)
 	l.Expect(v.Action).To(Equal(Reset))
 	l.Expect(v.Reason).To(Equal(ServerGone))
+	l.Expect(v.Presence).To(Equal(catalog.Superseded))
 	l.Expect(l.serverByID(1).Token).NotTo(Equal(old.Token))
 }
 
@@ -360,7 +361,7 @@
 		l.catalog.Confirm(l.now, 10)
 	}
 	heldAt := l.now - 100*time.Millisecond
-	l.Expect(l.engine.DecideHeld(l.now, heldAt, p)).To(Equal(Verdict{Action: Reset, Reason: ServerGone}))
+	l.Expect(l.engine.DecideHeld(l.now, heldAt, p)).To(Equal(Verdict{Action: Reset, Reason: UnknownToken}))
 	l.Expect(l.engine.DecideHeld(l.now, l.now+1, p).Action).To(Equal(Hold), "the store was not read since the packet arrived")
 }
 
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -17,7 +17,7 @@
 		Revision: 20, Removed: []catalog.Removal{{ID: id, Revision: 20}},
 	})
 	s := l.serverByID(id)
-	for !l.catalog.Gone(s) {
+	for l.catalog.Presence(s) < catalog.Gone {
 		l.now += 500 * time.Millisecond
 		l.catalog.Confirm(l.now, 20)
 	}
@@ -73,6 +73,7 @@
 	v := l.request(f, 101, 1)
 	l.Expect(v.Action).To(Equal(Reset))
 	l.Expect(v.Reason).To(Equal(ServerGone))
+	l.Expect(v.Presence).To(Equal(catalog.Gone))
 	l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Reset), "another flow")
 	// The evidence expires: it may have been the network between the two.
 	l.now += silenceTTL + 1
@@ -129,7 +130,7 @@
 		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 12, Removed: []catalog.Removal{{ID: 1, Revision: 12}}})
 		s := l.serverByID(1)
 		l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Forward))
-		for !l.catalog.Gone(s) {
+		for l.catalog.Presence(s) < catalog.Gone {
 			l.now += 500 * time.Millisecond
 			l.catalog.Confirm(l.now, 12)
 		}
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -54,7 +54,7 @@
 	NoServer                   // no server can take a new flow
 	NotLoaded                  // the catalog is not complete yet
 	UnknownToken               // no known server has the token
-	ServerGone                 // the server of the flow has certainly ended
+	ServerGone                 // the server of the flow has ended: see Presence
 	WrongService               // the token identifies a server of another service
 	NoToken                    // a packet of an open flow without a token
 	NoRoom                     // the servers have as much work as they can do in time
@@ -74,6 +74,8 @@
 	Action Action
 	Reason Reason
 	Server *catalog.Server // set with Forward and ServerGone, nil if not known
+	// Presence is why the server counts as gone, set with ServerGone.
+	Presence catalog.Presence
 	// Load is the cost of the server chosen for a new flow: its load with one
 	// more request, as a multiple of its slots, plus penalties.
 	Load float64
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -263,7 +263,7 @@
 	}, "6s").Should(BeTrue())
 	l.sendPacket(1, "12345 cd34")
 	const readEvery = "1s" // a quarter of the apply time, and the delays of the test
-	l.Eventually(i.log.String, readEvery).Should(MatchRegexp(`request=cd34 .*action=reset reason=server_gone`))
+	l.Eventually(i.log.String, readEvery).Should(MatchRegexp(`request=cd34 .*action=reset reason=unknown_token .*store_healthy_for=`))
 }
 
 // Guards against log lines that lack the decision on a request, its ID, or the
--- a/node/edge/operators.go
+++ b/node/edge/operators.go
@@ -118,7 +118,7 @@
 func (i *Instance) serverStatus(now time.Duration, s *catalog.Server) ServerStatus {
 	state := "ready"
 	switch {
-	case i.catalog.Gone(s):
+	case i.catalog.Presence(s) >= catalog.Gone:
 		state = "gone"
 	case !s.Published():
 		state = "missing"
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -159,14 +159,20 @@
 	if v.Server != nil {
 		attrs = append(attrs, slog.String("server", v.Server.Name), slog.String("addr", v.Server.Addr.String()))
 	}
-	if p.SYN {
-		attrs = append(attrs, slog.Int("copy", p.Retransmits), slog.Float64("load", v.Load))
-	} else {
+	switch {
+	case p.SYN && v.Server != nil:
+		attrs = append(attrs, slog.Int("copy", p.Retransmits), slog.Float64("load", v.Load), slog.Uint64("token", uint64(v.Server.Token)))
+	case p.SYN:
+		attrs = append(attrs, slog.Int("copy", p.Retransmits))
+	default:
 		attrs = append(attrs, slog.Uint64("token", uint64(p.Token)), slog.Uint64("seq", uint64(p.Seq)))
 	}
 	attrs = append(attrs,
 		slog.Uint64("version", uint64(i.catalog.Version())), slog.Uint64("revision", uint64(i.catalog.Revision())),
 		slog.Duration("age", now-i.catalog.AsOf()))
+	if v.Action == steer.Reset && !p.SYN {
+		attrs = append(attrs, i.presenceAttrs(now, v)...)
+	}
 	if waited > 0 {
 		attrs = append(attrs, slog.Duration("waited", waited))
 	}
@@ -175,3 +181,17 @@
 	}
 	i.log.LogAttrs(context.Background(), slog.LevelInfo, "packet", attrs...)
 }
+
+// presenceAttrs returns why a server counts as gone, for the reset of an open flow.
+func (i *Instance) presenceAttrs(now time.Duration, v steer.Verdict) []slog.Attr {
+	_, healthyFor := i.catalog.Age(now)
+	attrs := []slog.Attr{slog.Duration("store_healthy_for", healthyFor)}
+	if s := v.Server; s != nil {
+		attrs = append(attrs, slog.String("presence", v.Presence.String()), slog.Uint64("server_token", uint64(s.Token)),
+			slog.Int64("started", s.Started), slog.Uint64("server_revision", uint64(s.Revision)))
+		if !s.Published() {
+			attrs = append(attrs, slog.Duration("unlisted_for", now-s.MissingSince))
+		}
+	}
+	return attrs
+}
