Deliver flows that a server took before its restart was known

Cause: a token named one start of a server. After the restart the instances go on placing flows on the entry of the former start for up to 1.5 s; the new process takes them, and they carry the old token. Once the new entry arrived, every flow with the old token was taken for one of the former process and reset. An instance that started later did not know the old token at all.

Change: the token names the server, and packets go to its latest start. Only the server knows which flows it holds; it refuses the others, as it refuses any packet of a flow that it does not know. Tokens of the former release are still understood, for upgrades.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,11 +34,12 @@
 	loaded            bool     // a full list of servers was applied
 	forgottenRevision Revision // removals up to it are not all known
 
-	servers    map[ServerID]*Server // the latest incarnation of each
-	byToken    map[token.Token]*Server
-	byService  map[string][]*Server       // active servers, unordered
-	byAddr     map[netip.AddrPort]*Server // the server published last with each address
-	generation uint64
+	servers       map[ServerID]*Server // the latest incarnation of each
+	byToken       map[token.Token]*Server
+	byFormerToken map[token.Token]*Server    // by the tokens of the former release
+	byService     map[string][]*Server       // active servers, unordered
+	byAddr        map[netip.AddrPort]*Server // the server published last with each address
+	generation    uint64
 
 	asOf         time.Duration // time at which the store was not ahead of revision
 	healthySince time.Duration // start of the current healthy period, 0 before the first
@@ -51,12 +52,13 @@
 // New returns an empty catalog.
 func New() *Catalog {
 	return &Catalog{
-		routes:     newRouteTable(),
-		servers:    make(map[ServerID]*Server),
-		byToken:    make(map[token.Token]*Server),
-		byService:  make(map[string][]*Server),
-		byAddr:     make(map[netip.AddrPort]*Server),
-		maxReadGap: defaultMaxReadGap,
+		routes:        newRouteTable(),
+		servers:       make(map[ServerID]*Server),
+		byToken:       make(map[token.Token]*Server),
+		byFormerToken: make(map[token.Token]*Server),
+		byService:     make(map[string][]*Server),
+		byAddr:        make(map[netip.AddrPort]*Server),
+		maxReadGap:    defaultMaxReadGap,
 	}
 }
 
@@ -104,8 +106,23 @@
 // The caller must not modify the slice.
 func (c *Catalog) ServersOf(service string) []*Server { return c.byService[service] }
 
-// ByToken returns the server that a token identifies, nil if it is unknown.
-func (c *Catalog) ByToken(t token.Token) *Server { return c.byToken[t] }
+// ByToken returns the latest incarnation of the server that a token identifies, nil
+// if it is unknown. The server itself refuses packets of flows that it does not hold.
+func (c *Catalog) ByToken(t token.Token) *Server {
+	if s := c.byToken[t]; s != nil {
+		return s
+	}
+	return c.byFormerToken[t]
+}
+
+// Latest returns the latest incarnation of the server of s, s itself if the server
+// is no longer in the catalog.
+func (c *Catalog) Latest(s *Server) *Server {
+	if latest := c.servers[s.ID]; latest != nil {
+		return latest
+	}
+	return s
+}
 
 // EachServer calls f for the latest incarnation of each server.
 func (c *Catalog) EachServer(f func(*Server)) {
@@ -261,9 +278,13 @@
 		result.Changed = append(result.Changed, old)
 		return
 	}
-	entry.Token = token.ForServer(uint64(entry.ID), entry.Started)
+	entry.Token = token.ForServer(uint64(entry.ID))
 	entry.FirstSeen, entry.MissingSince = now, 0
 	c.servers[entry.ID] = &entry
+	if old != nil {
+		delete(c.byFormerToken, old.formerToken())
+	}
+	c.byFormerToken[entry.formerToken()] = &entry
 	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Presence(holder).Ended() {
 		c.byToken[entry.Token] = &entry
 	}
@@ -327,24 +348,22 @@
 	Gone                         // its entry has been missing from a healthy store for longer than goneTimeout
 	Left                         // Gone, and it was draining when its entry was removed from a healthy store
 	AddressTaken                 // another server was published later with its address
-	Superseded                   // a later incarnation was published
 	numPresences
 )
 
-var presenceNames = [numPresences]string{"listed", "unlisted", "gone", "left", "address_taken", "superseded"}
+var presenceNames = [numPresences]string{"listed", "unlisted", "gone", "left", "address_taken"}
 
 func (p Presence) String() string { return presenceNames[p] }
 
 // Ended reports whether the server has certainly ended. A server that is Gone may
 // still be running if the store does not accept its entry.
-func (p Presence) Ended() bool { return p == Left || p == AddressTaken || p == Superseded }
+func (p Presence) Ended() bool { return p == Left || p == AddressTaken }
 
-// Presence returns what is known of whether the server runs.
+// Presence returns what is known of whether a server runs. s is its latest
+// incarnation.
 func (c *Catalog) Presence(s *Server) Presence {
 	gone := !s.Published() && c.asOf-max(s.MissingSince, c.healthySince) > goneTimeout
 	switch {
-	case c.servers[s.ID] != s:
-		return Superseded
 	case s.addressTaken:
 		return AddressTaken
 	case gone && s.left:
@@ -372,16 +391,16 @@
 		c.graceEnd = 0
 		c.rebuildIndex()
 	}
-	for t, s := range c.byToken {
-		superseded := c.servers[s.ID] != s
-		if !superseded && s.Published() || now-max(s.MissingSince, s.FirstSeen) < missingRetention {
+	for id, s := range c.servers {
+		if s.Published() || now-s.MissingSince < missingRetention {
 			continue
 		}
-		delete(c.byToken, t)
-		if !superseded {
-			delete(c.servers, s.ID)
-			c.forgottenRevision = max(c.forgottenRevision, s.removedRevision)
+		delete(c.servers, id)
+		delete(c.byFormerToken, s.formerToken())
+		if c.byToken[s.Token] == s {
+			delete(c.byToken, s.Token)
 		}
+		c.forgottenRevision = max(c.forgottenRevision, s.removedRevision)
 	}
 	c.assignFreeTokens()
 }
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -53,6 +53,8 @@
 	removedRevision Revision
 }
 
+func (s *Server) formerToken() token.Token { return token.ForIncarnation(uint64(s.ID), s.Started) }
+
 // Published reports whether the server has an entry in the store.
 func (s *Server) Published() bool { return s.MissingSince == 0 }
 
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -138,7 +138,7 @@
 		// way of another instance. The caller returns the token that it received
 		// last, but the flow is open at the server that the first packet after the
 		// handshake went to.
-		s = f.server
+		s = e.catalog.Latest(f.server)
 	}
 	if s != nil {
 		e.observeSilence(now, f, s, p)
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -141,3 +141,27 @@
 		l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(want), "store healthy for %s before", healthyBefore)
 	}
 }
+
+// Guards against resetting a flow that a restarted server took before its new entry was known.
+func TestFlowOpenedBeforeARestartIsKnownStaysOpen(t *testing.T) {
+	l := newFixture(t)
+	from := l.newCaller()
+	before := l.sendSYN(from, feed, 0).Server
+	f := l.openFlowTo(before)
+	restarted := *before
+	restarted.Started, restarted.Revision = 2, 11
+	l.now += time.Second
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Servers: []catalog.Server{restarted}})
+	now := l.serverByID(before.ID)
+	for _, v := range []Verdict{l.completeHandshake(from, feed, before), l.request(f, 101, 1)} {
+		l.Expect(v.Action).To(Equal(Forward))
+		l.Expect(v.Server).To(BeIdenticalTo(now))
+	}
+
+	fresh := catalog.New()
+	fresh.Apply(l.now, l.now, 1, &catalog.Change{
+		Revision: 11, Full: true, Config: l.catalog.Config(), Servers: []catalog.Server{restarted},
+	})
+	l.engine, l.catalog = New(Config{Domain: "a", Seed: 2}, fresh), fresh
+	l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward), "at an instance that knows only the second start")
+}
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -1,7 +1,7 @@
 // Package steer decides where the packets of callers go. It uses affinity
-// tokens: the packets of a flow carry a token that identifies the incarnation of
-// the backend server that holds the flow, so that any instance can forward
-// them. The package does not read the clock and does no I/O.
+// tokens: the packets of a flow carry a token that identifies the backend server
+// that holds the flow, so that any instance can forward them. The package does
+// not read the clock and does no I/O.
 package steer
 
 import (
--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -244,10 +244,14 @@
 	if err != nil {
 		return nil, err
 	}
+	c.addLive(s)
+	return s, s.enter("ready")
+}
+
+func (c *City) addLive(s *Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.servers = append(c.servers, s)
-	return s, nil
 }
 
 // Servers returns the servers that live.
--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -29,6 +29,7 @@
 		{"silent-watch", "steady", short, 0, (*City).changeBehindSilentWatch},
 		{"crash-and-reuse", "mod", short, 0.05, (*City).crashAndReuse},
 		{"failing-servers", "steady", 12 * time.Second, 0.1, (*City).failServers},
+		{"restart-servers", "steady", 12 * time.Second, 0.1, (*City).restartServers},
 	}
 }
 
@@ -132,6 +133,26 @@
 	return err
 }
 
+// restartServers crashes half of the feed servers and starts them again under
+// their IDs. They take new flows for a second before their entries show the start.
+// Then an instance that knows only these entries takes over the flows of another.
+func (c *City) restartServers() error {
+	for n, s := range c.Servers() {
+		if s.Service != Feed || n%4 != 0 {
+			continue
+		}
+		if _, err := s.Restart(time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	i := c.Instances[0]
+	if err := i.Stop(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return i.Start()
+}
+
 // failServers lets one feed server of each domain fail half of its requests.
 // Once they have shown it, they get less than half of the new flows that the
 // others get.
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -91,7 +91,7 @@
 // name is the key of the server's entry.
 func (s *Server) name() string { return fmt.Sprintf("i-%010x", s.ID) }
 
-// startServer starts a server at an address, and enters it in the store.
+// startServer starts a server at an address. The caller enters it in the store.
 func (c *City) startServer(id uint64, service, domain string, addr netip.AddrPort) (*Server, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
@@ -103,7 +103,7 @@
 	}
 	go s.receive()
 	go s.tick()
-	return s, s.enter("ready")
+	return s, nil
 }
 
 func (s *Server) enter(state string) error {
@@ -130,6 +130,24 @@
 	time.AfterFunc(lapseAfter, func() { s.city.Store.Delete("servers/" + s.name()) })
 }
 
+// Restart ends the server without a word and starts it again under its ID, at its
+// address. Until the entry of the new start is written, after a delay, the store has
+// that of the former one.
+func (s *Server) Restart(entryAfter time.Duration) (*Server, error) {
+	s.stop()
+	next, err := s.city.startServer(s.ID, s.Service, s.Domain, s.Addr)
+	if err != nil {
+		return nil, err
+	}
+	s.city.addLive(next)
+	time.AfterFunc(entryAfter, func() {
+		if err := next.enter("ready"); err != nil {
+			s.city.violation("the entry of server %x was not written: %v", next.ID, err)
+		}
+	})
+	return next, nil
+}
+
 // Leave ends a drained server and removes its entry.
 func (s *Server) Leave() {
 	s.stop()
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -68,8 +68,8 @@
 	ToSource bool             `cbor:"20,keyasint,omitempty"`
 }
 
-// ServerEvidence is the outcomes of the requests to an incarnation of a backend
-// server, with weights that decay.
+// ServerEvidence is the outcomes of the requests to a backend server, with weights
+// that decay.
 type ServerEvidence struct {
 	_              struct{} `cbor:",toarray"`
 	Token          token.Token
