--- a/cmd/egrettackctl/fleet_test.go
+++ b/cmd/egrettackctl/fleet_test.go
@@ -23,8 +23,8 @@
 // fixedStore always has the same configuration and no servers.
 type fixedStore struct{ version catalog.Version }
 
-func (s fixedStore) Revision(context.Context) (catalog.Revision, error) {
-	return catalog.Revision(s.version), nil
+func (s fixedStore) Position(context.Context) (catalog.Position, error) {
+	return catalog.Position{Revision: catalog.Revision(s.version)}, nil
 }
 
 func (s fixedStore) Page(context.Context, string) (*catalog.Change, string, error) {
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -17,6 +17,17 @@
 // Revision is a revision of the settings store.
 type Revision uint64
 
+// Epoch is the number of times that the settings store has returned from an older
+// copy, which loses the later changes and gives their revisions out again.
+// Revisions of different epochs cannot be compared.
+type Epoch uint64
+
+// Position is a state of the settings store.
+type Position struct {
+	Epoch    Epoch
+	Revision Revision
+}
+
 // Version is the version that the operator gives the configuration.
 type Version uint64
 
@@ -121,7 +132,8 @@
 // Change is an update from the store or a peer: backend servers and, optionally,
 // the configuration.
 type Change struct {
-	// Revision is the store revision up to which the change is complete.
+	// Epoch and Revision are the state of the store up to which the change is complete.
+	Epoch    Epoch    `cbor:"7,keyasint,omitempty"`
 	Revision Revision `cbor:"1,keyasint"`
 	// Full means that Servers lists all servers. Otherwise Servers and Removed
 	// are the differences from the requested revision.
@@ -133,6 +145,9 @@
 	Removed    []Removal   `cbor:"5,keyasint,omitempty"`
 }
 
+// Position returns the state of the store up to which the change is complete.
+func (ch *Change) Position() Position { return Position{ch.Epoch, ch.Revision} }
+
 // Removal is a server whose entry was removed from the store.
 type Removal struct {
 	ID       ServerID `cbor:"1,keyasint"`
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -150,10 +150,14 @@
 		return i.load(ctx)
 	}
 	at := i.clock.now()
-	rev, err := i.readRevision(ctx)
+	pos, err := i.readPosition(ctx)
 	if err != nil {
 		return err
 	}
+	rev := pos.Revision
+	if rev < known {
+		i.log.Warn("the store's revisions went back", "epoch", pos.Epoch, "revision", rev, "known", known)
+	}
 	i.mu.Lock()
 	current := i.catalog.Confirm(at, rev)
 	if current {
@@ -191,11 +195,11 @@
 	}
 }
 
-func (i *Instance) readRevision(ctx context.Context) (catalog.Revision, error) {
+func (i *Instance) readPosition(ctx context.Context) (catalog.Position, error) {
 	ctx, cancel := i.withReadLimit(ctx)
 	defer cancel()
-	rev, err := i.store.Revision(ctx)
-	return rev, progress.Cause(ctx, err)
+	pos, err := i.store.Position(ctx)
+	return pos, progress.Cause(ctx, err)
 }
 
 // readSince applies the changes after a revision, which the store returns in one
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -39,10 +39,10 @@
 	RequestID(packet []byte) []byte
 }
 
-// Store reads the settings store. Reads of Revision and Page are linearizable.
+// Store reads the settings store. Reads of Position and Page are linearizable.
 type Store interface {
-	// Revision returns the current revision of the store.
-	Revision(ctx context.Context) (catalog.Revision, error)
+	// Position returns the current position of the store.
+	Position(ctx context.Context) (catalog.Position, error)
 	// Page reads the part of the configuration and the servers that follows a
 	// position, "" for the first page. next is the position after the page, ""
 	// after the last one.
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -97,12 +97,12 @@
 	s.state.Revision++
 }
 
-func (s *fakeStore) Revision(context.Context) (catalog.Revision, error) {
+func (s *fakeStore) Position(context.Context) (catalog.Position, error) {
 	c, err := s.read()
 	if err != nil {
-		return 0, err
+		return catalog.Position{}, err
 	}
-	return c.Revision, nil
+	return c.Position(), nil
 }
 
 func (s *fakeStore) Page(context.Context, string) (*catalog.Change, string, error) {
--- a/node/edge/simulation_test.go
+++ b/node/edge/simulation_test.go
@@ -477,12 +477,12 @@
 	return s.read(ctx, routeBytes*len(s.m.sim.lastConfig().Routes))
 }
 
-func (s storeClient) Revision(ctx context.Context) (catalog.Revision, error) {
+func (s storeClient) Position(ctx context.Context) (catalog.Position, error) {
 	ch, err := s.read(ctx, 0)
 	if err != nil {
-		return 0, err
+		return catalog.Position{}, err
 	}
-	return ch.Revision, nil
+	return ch.Position(), nil
 }
 
 func (s storeClient) Page(ctx context.Context, _ string) (*catalog.Change, string, error) {
