Tell the epochs of a restored store apart, keep what a restore has undone

Cause: revisions were taken as one sequence for ever. A restored store gives the revisions after its copy out again. An instance at revision 23 counted itself as current while the store was at 22 and 23 again, then read the changes after 23 only; version 13 of the configuration, written at 23 or below, was never read by anybody. Evidence: 'the store's revisions went back', epoch 2, revision 22, known 23, from 17.15 s on in all instances, and no read of changes before 22.2 s.

Change: a position in the store is its epoch and revision; positions of different epochs are never compared. An instance that reads a later epoch reads everything, its followers take the full list from it, a new healthy period begins. What is known stays known until it is written again: the configuration goes by its version, a server by its start and the sequence of its writes, so that the copy's older entries neither end a drain nor bring back a server that left; servers that the copy lacks stay in use for the 2.5 s within which they write again. A source whose follower has a later epoch or version asks it, so that instances that start in between learn what the store has lost.

The model of core/catalog plays copies, restores and rewrites; without the comparison of sequences or the reset of revisions it fails.

Tests changed: the model gives each server a start and a sequence and checks in addition that knowledge never goes back and that all members agree in the end; a server known to have left may stay missing while a restored store lists it. Other tests only state positions with an epoch.

--- a/cmd/egrettackctl/edge.go
+++ b/cmd/egrettackctl/edge.go
@@ -17,7 +17,7 @@
 type edgeStatus struct{ stub }
 
 func (*edgeStatus) run(a *app) error {
-	t := &table{head: "instance domain state version revision age_ms source routes servers flows members"}
+	t := &table{head: "instance domain state version epoch revision age_ms source routes servers flows members"}
 	var list []edge.Status
 	err := a.eachEdge(func(ctx context.Context, addr netip.AddrPort) error {
 		s, err := edge.FetchStatus(ctx, addr)
@@ -29,7 +29,7 @@
 			state = s.NotReady
 		}
 		list = append(list, s)
-		t.add(s.Name, s.Domain, state, s.Version, s.Revision, s.AgeMS, s.Source, s.Routes, s.Servers, s.Flows, len(s.Members))
+		t.add(s.Name, s.Domain, state, s.Version, s.Epoch, s.Revision, s.AgeMS, s.Source, s.Routes, s.Servers, s.Flows, len(s.Members))
 		return nil
 	})
 	return a.printAfter(err, list, t)
--- a/cmd/egrettackctl/fleet.go
+++ b/cmd/egrettackctl/fleet.go
@@ -159,6 +159,7 @@
 		return nil
 	}
 	newest := slices.MaxFunc(members, func(a, b member) int { return cmp.Compare(a.Status.Version, b.Status.Version) }).Status.Version
+	epoch := slices.MaxFunc(members, func(a, b member) int { return cmp.Compare(a.Status.Epoch, b.Status.Epoch) }).Status.Epoch
 	for _, m := range members {
 		s := m.Status
 		add := func(what, format string, args ...any) {
@@ -170,6 +171,9 @@
 		if s.Version < newest {
 			add("version", "%d, the newest is %d", s.Version, newest)
 		}
+		if s.Epoch < epoch {
+			add("epoch", "%d, the store is restored to %d", s.Epoch, epoch)
+		}
 		if age := time.Duration(s.AgeMS) * time.Millisecond; age > maxAge {
 			add("age", "%s, source %s", age, s.Source)
 		}
--- a/cmd/egrettackctl/fleet_test.go
+++ b/cmd/egrettackctl/fleet_test.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// Guards against an instance that missed a restore of the store and counts as agreeing with the others.
+func TestCompareInstancesFindsAnEarlierEpoch(t *testing.T) {
+	members := []member{
+		{Status: edge.Status{Name: "a", Epoch: 2, Revision: 12}},
+		{Status: edge.Status{Name: "b", Epoch: 1, Revision: 40}},
+	}
+	got := compareInstances(members, time.Minute)
+	if len(got) != 1 || got[0].What != "epoch" || got[0].Subject != "b" || got[0].Detail != "1, the store is restored to 2" {
+		t.Errorf("got %+v, want the epoch of b", got)
+	}
+}
+
 // Guards against completion scripts and a manual page that do not follow the commands.
 func TestShellIntegration(t *testing.T) {
 	for _, c := range []struct {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -30,6 +30,7 @@
 type Catalog struct {
 	config            *Config
 	routes            routeTable
+	epoch             Epoch // of revision
 	revision          Revision
 	loaded            bool     // a full list of servers was applied
 	forgottenRevision Revision // removals up to it are not all known
@@ -88,6 +89,9 @@
 // Revision returns the store revision up to which the catalog is complete.
 func (c *Catalog) Revision() Revision { return c.revision }
 
+// Position returns the state of the store up to which the catalog is complete.
+func (c *Catalog) Position() Position { return Position{c.epoch, c.revision} }
+
 // AsOf returns the latest time at which the catalog is known to have been
 // current.
 func (c *Catalog) AsOf() time.Duration { return c.asOf }
@@ -149,9 +153,9 @@
 }
 
 // Confirm records that a linearizable read started at the given time found the
-// store at revision rev. It reports whether the catalog is current.
-func (c *Catalog) Confirm(at time.Duration, rev Revision) bool {
-	if rev > c.revision {
+// store at a position. It reports whether the catalog is current.
+func (c *Catalog) Confirm(at time.Duration, pos Position) bool {
+	if pos.Epoch != c.epoch || pos.Revision > c.revision {
 		return false
 	}
 	c.recordHealthy(at, at)
@@ -203,11 +207,15 @@
 		ch.Config = cfg
 	}
 	result.ConfigChanged = c.applyConfig(ch.Config)
-	if ch.Revision < c.revision {
+	// The changes of a later epoch are only complete from its beginning.
+	if ch.Position().Before(c.Position()) || ch.Epoch > c.epoch && c.loaded && !ch.Full {
 		result.Stale = true
 		return result
 	}
 	wasLoaded := c.loaded
+	if ch.Epoch > c.epoch {
+		c.beginEpoch(ch.Epoch)
+	}
 	if ch.Full {
 		c.markMissing(now, ch, &result)
 		c.loaded, c.forgottenRevision = true, max(c.forgottenRevision, ch.Revision)
@@ -234,11 +242,22 @@
 	return result
 }
 
+// beginEpoch prepares the catalog for the first full list of a later epoch. The store
+// has lost the changes since its copy was made. What is known stays known until
+// it is written again: the list shows older states of servers that have begun to
+// leave, and lacks servers that started since.
+func (c *Catalog) beginEpoch(e Epoch) {
+	c.epoch, c.revision, c.forgottenRevision, c.healthySince = e, 0, 0, 0
+	for _, s := range c.servers {
+		s.Revision, s.removedRevision, s.restored = 0, 0, c.loaded
+	}
+}
+
 // ApplyResult lists what a change modified.
 type ApplyResult struct {
 	ConfigChanged           bool // the configuration was replaced
 	ConfigMismatch          bool // nothing was applied: the difference does not lead to the stated configuration
-	Stale                   bool // the servers were ignored: the catalog has a later revision
+	Stale                   bool // the servers were ignored: the catalog has a later revision, or a full list of a later epoch is needed
 	Added, Changed, Removed []*Server
 }
 
@@ -270,10 +289,17 @@
 	if old != nil && entry.Revision == old.Revision && old.Published() {
 		return
 	}
+	if old != nil && old.restored {
+		old.restored = false
+		if old.knownBefore(&entry) {
+			c.keepKnown(old, entry.Revision, result)
+			return
+		}
+	}
 	if old != nil && old.Started == entry.Started {
 		// Open flows refer to this record, so it is updated in place.
 		old.Service, old.Domain, old.Addr, old.Slots = entry.Service, entry.Domain, entry.Addr, entry.Slots
-		old.Draining, old.Revision, old.MissingSince = entry.Draining, entry.Revision, 0
+		old.Draining, old.Sequence, old.Revision, old.MissingSince = entry.Draining, entry.Sequence, entry.Revision, 0
 		old.left, old.addressTaken = false, false
 		result.Changed = append(result.Changed, old)
 		return
@@ -291,6 +317,16 @@
 	result.Added = append(result.Added, &entry)
 }
 
+// keepKnown records that a restored store lists a server with an entry that is no newer
+// than what is known. A server that had left stays missing: its entry expires again.
+func (c *Catalog) keepKnown(s *Server, rev Revision, result *ApplyResult) {
+	s.Revision = rev
+	if !s.Published() && !s.Draining {
+		s.MissingSince = 0
+		result.Changed = append(result.Changed, s)
+	}
+}
+
 // ChangeCount returns a number that increases with each change of the servers in
 // this catalog. Unlike Version and Revision it is local to the instance.
 func (c *Catalog) ChangeCount() uint64 { return c.generation }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -66,9 +66,9 @@
 	g := NewWithT(t)
 	c := New()
 	c.Apply(second, second, second, fullChange(10, config(1), server(1, 3)))
-	g.Expect(c.Confirm(2*second, 11)).To(BeFalse())
+	g.Expect(c.Confirm(2*second, Position{Revision: 11})).To(BeFalse())
 	g.Expect(c.AsOf()).To(Equal(second))
-	g.Expect(c.Confirm(2*second, 10)).To(BeTrue())
+	g.Expect(c.Confirm(2*second, Position{Revision: 10})).To(BeTrue())
 	g.Expect(c.AsOf()).To(Equal(2 * second))
 }
 
@@ -85,10 +85,10 @@
 	c.Apply(20*second, 20*second, 20*second, fullChange(12, nil, server(2, 4)))
 	g.Expect(s.Published()).To(BeFalse())
 	for at := 20 * second; at <= 22*second; at += second / 2 {
-		c.Confirm(at, 12)
+		c.Confirm(at, Position{Revision: 12})
 		g.Expect(c.Presence(s)).To(Equal(Unlisted), "at %s", at)
 	}
-	c.Confirm(23*second, 12)
+	c.Confirm(23*second, Position{Revision: 12})
 	g.Expect(c.Presence(s)).To(Equal(Gone))
 }
 
@@ -101,11 +101,11 @@
 	c.Apply(second, second, second, fullChange(10, config(1), server(1, 3), server(2, 4)))
 	s := c.ByToken(token.ForServer(1))
 	for at := 4 * second; at <= 13*second; at += 3 * second {
-		c.Confirm(at, 10)
+		c.Confirm(at, Position{Revision: 10})
 	}
 	c.Apply(16*second, 16*second, 16*second, &Change{Revision: 11, Removed: []Removal{{ID: 1, Revision: 11}}})
 	g.Expect(c.Presence(s)).To(Equal(Unlisted))
-	c.Confirm(19*second, 11)
+	c.Confirm(19*second, Position{Revision: 11})
 	g.Expect(c.Presence(s)).To(Equal(Gone))
 }
 
@@ -122,10 +122,10 @@
 	returned := 20 * second
 	c.Apply(returned, returned, returned, fullChange(12, nil, server(2, 4)))
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)), "a draining server has no grace period")
-	c.Confirm(returned+second, 12)
+	c.Confirm(returned+second, Position{Revision: 12})
 	c.Apply(returned+second, returned+second, returned+second, &Change{Revision: 13, Servers: []Server{server(1, 13)}})
 	for at := returned; at <= returned+4*second; at += second / 10 {
-		c.Confirm(at, 13)
+		c.Confirm(at, Position{Revision: 13})
 		c.Expire(at)
 	}
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
@@ -202,7 +202,7 @@
 	g.Expect(c.Presence(c.servers[7])).To(Equal(Listed))
 	// The entry of the old server is refreshed by nobody, but the new one leaves.
 	for at := 2 * second; at < 5*second; at += second {
-		c.Confirm(at, 12)
+		c.Confirm(at, Position{Revision: 12})
 	}
 	c.Apply(5*second, 5*second, 5*second, &Change{Revision: 13, Removed: []Removal{{ID: 7, Revision: 13}}})
 	g.Expect(c.Presence(c.servers[7])).To(Equal(Unlisted), "nobody has its address")
@@ -309,9 +309,9 @@
 				source.Apply(now, now, now, &Change{Revision: rev, Config: config(Version(rev), "1.1.1.1:80")})
 			case "pull":
 				if follower.Complete() {
-					follower.Apply(now, now, now, source.Since(now, follower.Revision(), follower.Version(), true))
+					follower.Apply(now, now, now, source.Since(now, follower.Position(), follower.Version(), true))
 				} else {
-					follower.Apply(now, now, now, source.Since(now, 0, 0, false))
+					follower.Apply(now, now, now, source.Since(now, Position{}, 0, false))
 				}
 			case "forget":
 				source.Expire(now)
@@ -320,7 +320,7 @@
 		if !follower.Loaded() {
 			return
 		}
-		follower.Apply(now, now, now, source.Since(now, follower.Revision(), follower.Version(), true))
+		follower.Apply(now, now, now, source.Since(now, follower.Position(), follower.Version(), true))
 		if a, b := publishedServers(source), publishedServers(follower); a != b {
 			t.Fatalf("source has servers %s, follower %s", a, b)
 		}
--- a/core/catalog/model_test.go
+++ b/core/catalog/model_test.go
@@ -2,14 +2,26 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
-// storeModel is a settings store with its history of server entries.
+// storeModel is a settings store with its history of server entries, and the servers
+// that write there.
 type storeModel struct {
+	storeState
+	copy   storeState // what a restore returns to
+	hosts  map[ServerID]Server
+	starts map[ServerID]int64 // the last start of each server
+}
+
+// storeState is what a restore brings back.
+type storeState struct {
+	epoch     Epoch
 	revision  Revision
 	entries   map[ServerID]Server
 	history   []storeEvent
@@ -23,25 +35,70 @@
 	entry    *Server // nil if the entry was removed
 }
 
+func newStoreModel() *storeModel {
+	s := &storeModel{hosts: make(map[ServerID]Server), starts: make(map[ServerID]int64)}
+	s.entries = make(map[ServerID]Server)
+	s.copy = s.clone()
+	return s
+}
+
+func (s *storeState) clone() storeState {
+	c := *s
+	c.entries, c.history = maps.Clone(s.entries), slices.Clone(s.history)
+	return c
+}
+
+// restore returns the store to its copy.
+func (s *storeModel) restore() {
+	epoch := s.epoch + 1
+	s.storeState = s.copy.clone()
+	s.epoch = epoch
+}
+
+// start lets a server start, again if it runs.
+func (s *storeModel) start(id ServerID) {
+	s.starts[id]++
+	h := server(id, 0)
+	h.Started = s.starts[id]
+	s.hosts[id] = h
+}
+
+// put lets a running server write its entry.
 func (s *storeModel) put(e Server) {
+	e.Sequence++
+	s.hosts[e.ID] = e
 	s.revision++
 	e.Revision = s.revision
 	s.entries[e.ID] = e
 	s.history = append(s.history, storeEvent{s.revision, e.ID, &e})
 }
 
+// remove removes the entry of a server.
 func (s *storeModel) remove(id ServerID) {
 	s.revision++
 	delete(s.entries, id)
 	s.history = append(s.history, storeEvent{s.revision, id, nil})
 }
 
-// since returns up to limit events after a revision, nil if they are discarded.
+// settle lets all servers that run write their entries again, and removes the others.
+func (s *storeModel) settle() {
+	for id := range s.entries {
+		if _, runs := s.hosts[id]; !runs {
+			s.remove(id)
+		}
+	}
+	for _, h := range s.hosts {
+		s.put(h)
+	}
+}
+
+// since returns up to limit events after a revision, nil if they are discarded or
+// the store has not reached the revision.
 func (s *storeModel) since(after Revision, limit int) *Change {
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil
 	}
-	ch := &Change{Revision: s.revision}
+	ch := &Change{Epoch: s.epoch, Revision: s.revision}
 	for _, e := range s.history {
 		if e.revision <= after {
 			continue
@@ -61,7 +118,7 @@
 }
 
 func (s *storeModel) full() *Change {
-	ch := &Change{Revision: s.revision, Full: true, Config: config(1)}
+	ch := &Change{Epoch: s.epoch, Revision: s.revision, Full: true, Config: config(1)}
 	for _, e := range s.entries {
 		ch.Servers = append(ch.Servers, e)
 	}
@@ -81,7 +138,7 @@
 // check fails if a catalog that claims to be complete up to a revision has a
 // state of a server from before the server's last event up to that revision.
 func (s *storeModel) check(t *rapid.T, name string, c *Catalog) {
-	if !c.Loaded() {
+	if !c.Loaded() || c.epoch != s.epoch {
 		return
 	}
 	for id := ServerID(1); id <= modelServers; id++ {
@@ -94,12 +151,40 @@
 			t.Fatalf("%s at revision %d lacks server %d of revision %d", name, c.Revision(), id, e.revision)
 		case e.entry != nil && have.Published() && have.Revision < e.revision:
 			t.Fatalf("%s at revision %d has revision %d of server %d instead of %d", name, c.Revision(), have.Revision, id, e.revision)
+		case e.entry != nil && s.epoch > 0 && !have.Published() && have.Draining && have.knownBefore(e.entry):
+			// It left after the copy of the store was made.
 		case e.entry != nil && !have.Published() && have.removedRevision <= e.revision:
 			t.Fatalf("%s at revision %d lost server %d, which was published at revision %d", name, c.Revision(), id, e.revision)
 		}
 	}
 }
 
+// knowledge is the latest that a catalog knows of each server.
+func knowledge(c *Catalog) map[ServerID]Server {
+	known := make(map[ServerID]Server)
+	for id, s := range c.servers {
+		known[id] = *s
+	}
+	return known
+}
+
+// checkKept fails if a catalog has gone back to an older state of a server.
+func checkKept(t *rapid.T, name string, before map[ServerID]Server, c *Catalog) {
+	for id, old := range before {
+		have := c.servers[id]
+		if have == nil {
+			continue
+		}
+		if !old.knownBefore(have) {
+			continue
+		}
+		if have.Started != old.Started || have.Sequence != old.Sequence || have.Draining != old.Draining {
+			t.Fatalf("%s went back from start %d, write %d, draining %v of server %d to %d, %d, %v",
+				name, old.Started, old.Sequence, old.Draining, id, have.Started, have.Sequence, have.Draining)
+		}
+	}
+}
+
 const (
 	modelServers  = 6
 	modelMembers  = 4
@@ -108,12 +193,13 @@
 
 // Guards against removed servers that come back or stay in use, and against
 // servers that are lost, in a fleet whose members read the store and each other
-// in any order: in pages, in full, from compacted histories, after restarts and
-// from changing sources.
+// in any order: in pages, in full, from compacted histories, after restarts, after
+// restores of the store, and from changing sources.
 func TestMembersAreCompleteUpToTheirRevision(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := &storeModel{entries: make(map[ServerID]Server)}
-		store.put(server(1, 0))
+		store := newStoreModel()
+		store.start(1)
+		store.put(store.hosts[1])
 		members := make([]*Catalog, modelMembers)
 		for i := range members {
 			members[i] = New()
@@ -124,15 +210,20 @@
 			i := rapid.IntRange(0, modelMembers-1).Draw(t, "member")
 			c := members[i]
 			id := ServerID(rapid.IntRange(1, modelServers).Draw(t, "server"))
+			before := knowledge(c)
 			switch step := rapid.SampledFrom([]string{
 				"put", "put", "remove", "lapse", "compact", "read", "read", "read all", "pull", "pull", "pull", "expire", "restart",
+				"copy", "restore", "settle",
 			}).Draw(t, "step"); step {
 			case "put":
-				s := server(id, 0)
-				s.Draining = rapid.Bool().Draw(t, "draining")
-				s.Started += int64(rapid.IntRange(0, 1).Draw(t, "incarnation"))
+				if _, runs := store.hosts[id]; !runs || rapid.Bool().Draw(t, "start") {
+					store.start(id)
+				}
+				s := store.hosts[id]
+				s.Draining = s.Draining || rapid.Bool().Draw(t, "draining")
 				store.put(s)
 			case "remove":
+				delete(store.hosts, id)
 				if _, ok := store.entries[id]; ok {
 					store.remove(id)
 				}
@@ -142,8 +233,14 @@
 				}
 			case "compact":
 				store.compacted = store.revision
+			case "copy":
+				store.copy = store.clone()
+			case "restore":
+				store.restore()
+			case "settle":
+				store.settle()
 			case "read":
-				if c.Loaded() {
+				if c.Loaded() && c.epoch == store.epoch {
 					if ch := store.since(c.Revision(), modelPageSize); ch != nil {
 						c.Apply(now, now, now, ch)
 					}
@@ -155,9 +252,9 @@
 				if source == c || !source.Complete() {
 					break
 				}
-				after := c.Revision()
+				after := c.Position()
 				if !c.Loaded() {
-					after = 0
+					after = Position{}
 				}
 				ch := source.Since(now, after, 0, false)
 				if c.Loaded() || ch.Full {
@@ -168,9 +265,25 @@
 			case "restart":
 				members[i] = New()
 			}
+			checkKept(t, fmt.Sprint("member ", i), before, members[i])
 			for k, c := range members {
 				store.check(t, fmt.Sprint("member ", k), c)
 			}
 		}
+		store.settle()
+		for k, c := range members {
+			c.Apply(now, now, now, store.full())
+			for id, h := range store.hosts {
+				have := c.servers[id]
+				if have == nil || !have.Published() || have.Draining != h.Draining || have.Started != h.Started {
+					t.Fatalf("member %d has %+v in the end, server %d is %+v", k, have, id, h)
+				}
+			}
+			for id, have := range c.servers {
+				if _, runs := store.hosts[id]; !runs && have.Published() {
+					t.Fatalf("member %d has server %d in the end, which has left", k, id)
+				}
+			}
+		}
 	})
 }
--- a/core/catalog/routes_test.go
+++ b/core/catalog/routes_test.go
@@ -64,9 +64,9 @@
 				follower.Apply(second, second, second, ch)
 			}
 		}
-		ch := source.Since(second, follower.Revision(), follower.Version(), true)
+		ch := source.Since(second, follower.Position(), follower.Version(), true)
 		if follower.Apply(second, second, second, ch).ConfigMismatch {
-			follower.Apply(second, second, second, source.Since(second, follower.Revision(), 0, true))
+			follower.Apply(second, second, second, source.Since(second, follower.Position(), 0, true))
 		}
 		if a, b := routesOf(source), routesOf(follower); !maps.Equal(a, b) || follower.Version() != last.Version {
 			t.Fatalf("source has %v, follower %v at version %d of %d", a, b, follower.Version(), last.Version)
@@ -91,13 +91,13 @@
 	after.Routes[9] = routeTo(10, "upload")
 	c.Apply(second, second, second, &Change{Revision: 3, Full: true, Config: before})
 	c.Apply(second, second, second, &Change{Revision: 5, Config: after})
-	d := c.Since(second, 3, 3, true).ConfigDiff
+	d := c.Since(second, Position{Revision: 3}, 3, true).ConfigDiff
 	g.Expect(d).NotTo(BeNil())
 	g.Expect(d.Changed).To(ConsistOf(routeTo(10, "upload")))
 	g.Expect(d.Removed).To(ConsistOf(routeTo(0, "").Dest))
-	g.Expect(c.Since(second, 3, 2, true).Config).To(Equal(after), "the version before is not known")
-	g.Expect(c.Since(second, 3, 3, false).Config).To(Equal(after), "the peer takes no differences")
-	g.Expect(c.Since(second, 5, 5, true).ConfigDiff).To(BeNil())
+	g.Expect(c.Since(second, Position{Revision: 3}, 2, true).Config).To(Equal(after), "the version before is not known")
+	g.Expect(c.Since(second, Position{Revision: 3}, 3, false).Config).To(Equal(after), "the peer takes no differences")
+	g.Expect(c.Since(second, Position{Revision: 5}, 5, true).ConfigDiff).To(BeNil())
 }
 
 // Guards against applying part of a change whose difference does not lead to the
--- a/core/catalog/share.go
+++ b/core/catalog/share.go
@@ -2,23 +2,26 @@
 
 import "time"
 
-// Since returns the changes after a revision and a version, for a peer. The
-// change is full if not all removals after that revision are known: a full list
-// tells which servers are missing, but not since which revision.
+// Since returns the changes after a position and a version, for a peer. The
+// change is full if the position is of another epoch, or not all removals after it
+// are known: a full list tells which servers are missing, but not since which revision.
 // With diff set the configuration is a difference from the version, where that is
 // known and smaller.
-func (c *Catalog) Since(now time.Duration, after Revision, version Version, diff bool) *Change {
-	ch := &Change{Revision: c.revision, Full: after < c.forgottenRevision}
+func (c *Catalog) Since(now time.Duration, after Position, version Version, diff bool) *Change {
+	ch := &Change{
+		Epoch: c.epoch, Revision: c.revision,
+		Full: after.Epoch != c.epoch || after.Revision < c.forgottenRevision,
+	}
 	if c.config != nil && c.config.Version > version {
 		c.addConfig(ch, version, diff)
 	}
 	for id, s := range c.servers {
 		switch {
 		case !s.Published():
-			if !ch.Full && s.removedRevision > after {
+			if !ch.Full && s.removedRevision > after.Revision {
 				ch.Removed = append(ch.Removed, Removal{ID: id, Revision: s.removedRevision})
 			}
-		case ch.Full || s.Revision > after:
+		case ch.Full || s.Revision > after.Revision:
 			entry := *s
 			// The receiver counts the warm-up from when it first sees the server.
 			entry.WarmUp = max(0, s.FirstSeen+s.WarmUp-now)
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -28,6 +28,11 @@
 	Revision Revision
 }
 
+// Before reports whether p is an earlier state of the store than q.
+func (p Position) Before(q Position) bool {
+	return p.Epoch < q.Epoch || p.Epoch == q.Epoch && p.Revision < q.Revision
+}
+
 // Version is the version that the operator gives the configuration.
 type Version uint64
 
@@ -45,6 +50,9 @@
 	// WarmUp is how long after FirstSeen the server is slow.
 	WarmUp   time.Duration `cbor:"9,keyasint,omitempty"`
 	Revision Revision      `cbor:"10,keyasint"` // of the published entry
+	// Sequence increases with each write of the entry by this incarnation, also with
+	// writes that a restore of the store has undone.
+	Sequence int64 `cbor:"11,keyasint,omitempty"`
 
 	// The fields below are local to this instance and not sent to peers.
 
@@ -59,11 +67,19 @@
 	// addressTaken is set if another server was published later with the same
 	// address, which this server has therefore lost.
 	addressTaken bool
+	// restored is set if what is known is of an earlier epoch than the catalog's, and
+	// the entry has not been read since.
+	restored bool
 	// removedRevision is the revision at which the entry was removed, valid while
 	// it is missing.
 	removedRevision Revision
 }
 
+// knownBefore reports whether an entry says nothing that is not known of the server.
+func (s *Server) knownBefore(entry *Server) bool {
+	return entry.Started < s.Started || entry.Started == s.Started && entry.Sequence <= s.Sequence
+}
+
 func (s *Server) formerToken() token.Token { return token.ForIncarnation(uint64(s.ID), s.Started) }
 
 // Published reports whether the server has an entry in the store.
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -363,7 +363,7 @@
 	l.Expect(l.engine.HoldTimeoutVerdict().Action).To(Equal(Drop))
 	for range 8 {
 		l.now += 500 * time.Millisecond
-		l.catalog.Confirm(l.now, 10)
+		l.catalog.Confirm(l.now, catalog.Position{Revision: 10})
 	}
 	heldAt := l.now - 100*time.Millisecond
 	l.Expect(l.engine.DecideHeld(l.now, heldAt, p)).To(Equal(Verdict{Action: Reset, Reason: UnknownToken}))
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -19,7 +19,7 @@
 	s := l.serverByID(id)
 	for l.catalog.Presence(s) < catalog.Gone {
 		l.now += 500 * time.Millisecond
-		l.catalog.Confirm(l.now, 20)
+		l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
 	}
 	return s
 }
@@ -125,14 +125,14 @@
 		l.now += time.Hour
 		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Servers: []catalog.Server{draining}})
 		for end := l.now + healthyBefore; l.now < end; l.now += 500 * time.Millisecond {
-			l.catalog.Confirm(l.now, 11)
+			l.catalog.Confirm(l.now, catalog.Position{Revision: 11})
 		}
 		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 12, Removed: []catalog.Removal{{ID: 1, Revision: 12}}})
 		s := l.serverByID(1)
 		l.Expect(l.request(l.openFlowTo(s), 101, 1).Action).To(Equal(Forward))
 		for l.catalog.Presence(s) < catalog.Gone {
 			l.now += 500 * time.Millisecond
-			l.catalog.Confirm(l.now, 12)
+			l.catalog.Confirm(l.now, catalog.Position{Revision: 12})
 		}
 		want := Reset
 		if healthyBefore < time.Minute {
--- a/node/edge/answer.go
+++ b/node/edge/answer.go
@@ -116,7 +116,7 @@
 	age, good := i.catalog.Age(now)
 	return &wire.Change{
 		After: p.Revision, Age: wire.CeilMillis(age), StoreHealthyFor: wire.FloorMillis(good),
-		Change: i.catalog.Since(now, p.Revision, p.Version, p.Compact),
+		Change: i.catalog.Since(now, catalog.Position{Epoch: p.Epoch, Revision: p.Revision}, p.Version, p.Compact),
 	}, i.position()
 }
 
--- a/node/edge/calls.go
+++ b/node/edge/calls.go
@@ -38,12 +38,19 @@
 )
 
 type sinceParams struct {
+	Epoch    catalog.Epoch    `json:"epoch,omitempty"`
 	Revision catalog.Revision `json:"revision"`
 	Version  catalog.Version  `json:"version"`
 	// Compact asks for a compressed reply with the configuration as a difference.
 	Compact bool `json:"compact,omitempty"`
 }
 
+// compactParams returns the parameters of a compact call for the changes after a
+// position.
+func compactParams(have position) sinceParams {
+	return sinceParams{Epoch: have.store.Epoch, Revision: have.store.Revision, Version: have.version, Compact: true}
+}
+
 type sinceResult struct {
 	Change     []byte `json:"change"`
 	Compressed bool   `json:"compressed,omitempty"`
@@ -137,7 +144,7 @@
 // fetchChange fetches the changes after the position have from the instance at addr.
 func fetchChange(ctx context.Context, addr netip.AddrPort, have position) (*wire.Change, error) {
 	var r sinceResult
-	if err := call(ctx, addr, methodCatalogSince, sinceParams{have.revision, have.version, true}, &r); err != nil {
+	if err := call(ctx, addr, methodCatalogSince, compactParams(have), &r); err != nil {
 		return nil, err
 	}
 	return r.decode()
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"egrettack.example/core/catalog"
 	"egrettack.example/node/progress"
 )
@@ -144,7 +147,7 @@
 // read updates the catalog to the current revision of the store.
 func (i *Instance) read(ctx context.Context) error {
 	i.mu.Lock()
-	loaded, known := i.catalog.Loaded(), i.catalog.Revision()
+	loaded, known := i.catalog.Loaded(), i.catalog.Position()
 	i.mu.Unlock()
 	if !loaded {
 		return i.load(ctx)
@@ -154,12 +157,15 @@
 	if err != nil {
 		return err
 	}
-	rev := pos.Revision
-	if rev < known {
-		i.log.Warn("the store's revisions went back", "epoch", pos.Epoch, "revision", rev, "known", known)
+	if pos.Epoch < known.Epoch {
+		return trace.Wrap(errEarlierEpoch, "epoch %d of the store, %d is known", pos.Epoch, known.Epoch)
+	}
+	if pos.Epoch > known.Epoch {
+		i.log.Warn("store restored from a copy", "epoch", pos.Epoch, "known_epoch", known.Epoch, "revision", pos.Revision, "known", known.Revision)
+		return i.readAll(ctx)
 	}
 	i.mu.Lock()
-	current := i.catalog.Confirm(at, rev)
+	current := i.catalog.Confirm(at, pos)
 	if current {
 		now := i.clock.now()
 		i.retryHeld(now)
@@ -170,12 +176,16 @@
 	if current {
 		return nil
 	}
-	if i.readSince(ctx, known, rev) {
+	if i.readSince(ctx, known, pos.Revision) {
 		return nil
 	}
 	return i.readAll(ctx)
 }
 
+// errEarlierEpoch means that an answer of the store is of an epoch that a restore has
+// ended. Match it with errors.Is.
+var errEarlierEpoch = errors.New("the answer is from before a restore of the store")
+
 // withReadLimit returns a context with the limits of one call to the store.
 func (i *Instance) withReadLimit(ctx context.Context) (context.Context, context.CancelFunc) {
 	i.mu.Lock()
@@ -202,10 +212,11 @@
 	return pos, progress.Cause(ctx, err)
 }
 
-// readSince applies the changes after a revision, which the store returns in one
+// readSince applies the changes after a position, which the store returns in one
 // or more parts. It reports whether they reach the revision that the store is
 // known to have.
-func (i *Instance) readSince(ctx context.Context, after, want catalog.Revision) bool {
+func (i *Instance) readSince(ctx context.Context, from catalog.Position, want catalog.Revision) bool {
+	after := from.Revision
 	for after < want {
 		at := i.clock.now()
 		ch, err := i.readPart(ctx, after)
@@ -213,6 +224,10 @@
 			i.log.Info("changes not read", "after", after, "error", err)
 			return false
 		}
+		if ch.Epoch != from.Epoch {
+			i.log.Info("changes of another epoch", "epoch", ch.Epoch, "want", from.Epoch)
+			return false
+		}
 		if ch.Revision <= after {
 			i.log.Warn("changes lag behind the store", "after", after, "got", ch.Revision, "want", want)
 			return false
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -129,6 +129,11 @@
 		if err != nil {
 			return err
 		}
+		if after == "" {
+			all.Epoch = page.Epoch
+		} else if page.Epoch != all.Epoch {
+			return trace.Wrap(errEarlierEpoch, "pages of the epochs %d and %d of the store", all.Epoch, page.Epoch)
+		}
 		i.addPartial(at, page)
 		all.Revision = min(all.Revision, page.Revision)
 		all.Servers = append(all.Servers, page.Servers...)
--- a/node/edge/operators.go
+++ b/node/edge/operators.go
@@ -25,6 +25,7 @@
 	Domain      string           `json:"domain"`
 	NotReady    string           `json:"not_ready,omitempty"` // why it should not get packets, empty if it should
 	Version     catalog.Version  `json:"version"`
+	Epoch       catalog.Epoch    `json:"epoch"` // of the store, that Revision is of
 	Revision    catalog.Revision `json:"revision"`
 	AgeMS       int64            `json:"age_ms"` // time since the catalog was known to be current
 	Routes      int              `json:"routes"`
@@ -82,7 +83,7 @@
 	age, _ := i.catalog.Age(now)
 	s := Status{
 		Name: i.settings.Name, Domain: i.settings.Domain, NotReady: notReady,
-		Version: i.catalog.Version(), Revision: i.catalog.Revision(), AgeMS: age.Milliseconds(),
+		Version: i.catalog.Version(), Epoch: i.catalog.Position().Epoch, Revision: i.catalog.Revision(), AgeMS: age.Milliseconds(),
 		Flows: i.engine.FlowCount(), HeldPackets: len(i.held.packets),
 		Source: sourceName(i.peers.fleet.Source()), StoreLost: i.state.store.lost,
 	}
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -41,10 +41,11 @@
 	reportedStoreLost bool
 }
 
-// position is the revision and the version that an instance has reached.
+// position is what an instance has reached: the state of the store and the version
+// of the configuration.
 type position struct {
-	revision catalog.Revision
-	version  catalog.Version
+	store   catalog.Position
+	version catalog.Version
 }
 
 // follower is what is known of a member that subscribed.
@@ -56,7 +57,7 @@
 }
 
 func (i *Instance) position() position {
-	return position{i.catalog.Revision(), i.catalog.Version()}
+	return position{i.catalog.Position(), i.catalog.Version()}
 }
 
 // requestPosition returns the position from which a peer is asked for changes.
@@ -114,7 +115,7 @@
 	switch m.Kind {
 	case wire.Subscribe:
 		i.peers.fleet.RenewFollower(now, from)
-		i.peers.followers[from] = follower{position{m.Revision, m.Version}, m.SentAt, now, m.TakesDiffs}
+		i.peers.followers[from] = follower{position{m.Position(), m.Version}, m.SentAt, now, m.TakesDiffs}
 		i.sendUpdate(now, from, updateSampleSize)
 		i.askFollower(now, from, m)
 	case wire.Update:
@@ -132,12 +133,15 @@
 	// to arrive.
 	sent := min(now, m.SentAt+m.SubscribeAge.Duration())
 	at := sent - m.Age.Duration()
-	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && c.After <= i.catalog.Revision() {
+	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && i.follows(c) {
 		if i.applyChange(now, at, m.StoreHealthyFor.Duration(), c.Change, from.String()) {
 			return
 		}
 	}
-	if m.Version <= i.catalog.Version() && i.catalog.Confirm(at, m.Revision) {
+	if m.Version <= i.catalog.Version() && m.Epoch < i.catalog.Position().Epoch {
+		return // what the peer knows is from before a restore of the store
+	}
+	if m.Version <= i.catalog.Version() && i.catalog.Confirm(at, m.Position()) {
 		i.catalog.ExtendStoreHealthy(at, m.StoreHealthyFor.Duration())
 		i.retryHeld(now)
 		i.updateFollowers(now)
@@ -149,6 +153,12 @@
 	}
 }
 
+// follows reports whether a change that is not full can be applied to the catalog.
+func (i *Instance) follows(c *wire.Change) bool {
+	have := i.catalog.Position()
+	return c.Change.Epoch == have.Epoch && c.After <= have.Revision
+}
+
 // mayPull reports whether a change may be pulled from a peer. An instance with a
 // fast link loads an empty catalog from the store while the store answers.
 func (i *Instance) mayPull(now time.Duration) bool {
@@ -175,7 +185,7 @@
 	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if c.After > i.catalog.Revision() && !c.Change.Full {
+	if !c.Change.Full && !i.follows(c) {
 		return
 	}
 	i.applyChange(now, began-c.Age.Duration(), c.StoreHealthyFor.Duration(), c.Change, from.String())
@@ -195,11 +205,11 @@
 	f, have := i.peers.followers[to], i.position()
 	age, good := i.catalog.Age(now)
 	m := &wire.Message{
-		Kind: wire.Update, Domain: i.settings.Domain, Revision: have.revision, Version: have.version,
+		Kind: wire.Update, Domain: i.settings.Domain, Epoch: have.store.Epoch, Revision: have.store.Revision, Version: have.version,
 		Age: wire.CeilMillis(age), StoreHealthyFor: wire.FloorMillis(good),
 		SentAt: f.subscribeSentAt, SubscribeAge: wire.FloorMillis(now - f.subscribeReceivedAt),
 	}
-	if f.position == have || f.position.revision == 0 || !i.sendChange(now, to, m, f) {
+	if f.position == have || f.position.store.Revision == 0 || !i.sendChange(now, to, m, f) {
 		m.Change = nil
 		i.addMemberSample(now, m, to, members)
 		i.sendToPeer(to, m)
@@ -227,11 +237,11 @@
 // sendChange sends the changes after a position in a message with the given
 // header. It reports false if they do not fit a datagram.
 func (i *Instance) sendChange(now time.Duration, to netip.Addr, m *wire.Message, f follower) bool {
-	ch := i.catalog.Since(now, f.position.revision, f.position.version, f.takesDiffs)
+	ch := i.catalog.Since(now, f.position.store, f.position.version, f.takesDiffs)
 	if ch.Full || entryCount(ch) > maxDatagramEntries {
 		return false
 	}
-	m.Change = &wire.Change{After: f.position.revision, Age: m.Age, StoreHealthyFor: m.StoreHealthyFor, Change: ch}
+	m.Change = &wire.Change{After: f.position.store.Revision, Age: m.Age, StoreHealthyFor: m.StoreHealthyFor, Change: ch}
 	return i.sendToPeer(to, m)
 }
 
@@ -294,7 +304,7 @@
 func (i *Instance) subscribe(now time.Duration, to netip.Addr) {
 	have := i.requestPosition()
 	m := i.memberMessage(now, wire.Subscribe, to)
-	m.Revision, m.Version, m.SentAt, m.TakesDiffs = have.revision, have.version, now, true
+	m.Epoch, m.Revision, m.Version, m.SentAt, m.TakesDiffs = have.store.Epoch, have.store.Revision, have.version, now, true
 	if i.catalog.Loaded() {
 		age, _ := i.catalog.Age(now)
 		m.Age = wire.CeilMillis(age)
@@ -307,13 +317,15 @@
 // source.
 const askInterval = 200 * time.Millisecond
 
-// askFollower subscribes to a follower that is more current than this instance:
-// it has read the store while this instance or its sources could not.
+// askFollower subscribes to a follower that is more current than this instance: it
+// has read the store while this instance or its sources could not, or it knows a
+// configuration that a restore of the store has undone.
 func (i *Instance) askFollower(now time.Duration, from netip.Addr, m *wire.Message) {
 	if !i.catalog.Loaded() || m.Revision == 0 || now-i.peers.askedAt < askInterval {
 		return
 	}
-	if ahead := now - m.Age.Duration() - i.catalog.AsOf(); ahead > i.staleness() {
+	ahead := now - m.Age.Duration() - i.catalog.AsOf()
+	if ahead > i.staleness() || m.Epoch > i.catalog.Position().Epoch || m.Version > i.catalog.Version() {
 		i.peers.askedAt = now
 		i.subscribe(now, from)
 	}
@@ -362,7 +374,8 @@
 func (i *Instance) memberMessage(now time.Duration, k wire.Kind, to netip.Addr) *wire.Message {
 	m := &wire.Message{Kind: k, Domain: i.settings.Domain}
 	if i.catalog.Complete() {
-		m.Revision, m.Version = i.catalog.Revision(), i.catalog.Version()
+		have := i.position()
+		m.Epoch, m.Revision, m.Version = have.store.Epoch, have.store.Revision, have.version
 	}
 	i.addMemberSample(now, m, to, fleet.GossipSampleSize)
 	return m
--- a/node/edge/simulation_test.go
+++ b/node/edge/simulation_test.go
@@ -401,7 +401,7 @@
 	if x == nil || !m.reaches(x) || m.sim.now < x.frozenUntil {
 		return nil, errors.New("no answer")
 	}
-	r, err := x.since(sinceParams{have.revision, have.version, true})
+	r, err := x.since(compactParams(have))
 	if err != nil {
 		return nil, err
 	}
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -66,6 +66,13 @@
 	// of the sender, otherwise to its followers.
 	Evidence []ServerEvidence `cbor:"19,keyasint,omitempty"`
 	ToSource bool             `cbor:"20,keyasint,omitempty"`
+	// Epoch is the epoch of the store that Revision is of.
+	Epoch catalog.Epoch `cbor:"21,keyasint,omitempty"`
+}
+
+// Position returns the state of the store up to which the sender is complete.
+func (m *Message) Position() catalog.Position {
+	return catalog.Position{Epoch: m.Epoch, Revision: m.Revision}
 }
 
 // ServerEvidence is the outcomes of the requests to a backend server, with weights
@@ -103,7 +110,7 @@
 
 // Change is a catalog.Change with the values that the receiver needs to apply it.
 type Change struct {
-	After           catalog.Revision `cbor:"1,keyasint"` // revision that the receiver must have reached
+	After           catalog.Revision `cbor:"1,keyasint"` // revision that the receiver must have reached, in the epoch of Change
 	Age             Millis           `cbor:"2,keyasint"` // as in Message
 	StoreHealthyFor Millis           `cbor:"3,keyasint"` // as in Message
 	Change          *catalog.Change  `cbor:"4,keyasint"`
--- a/wire/fleet/message_test.go
+++ b/wire/fleet/message_test.go
@@ -14,12 +14,12 @@
 
 func sampleMessage() *Message {
 	return &Message{
-		Kind: Update, Domain: "a", Revision: 41, Version: 7, Age: 12, StoreHealthyFor: 3000,
+		Kind: Update, Domain: "a", Epoch: 2, Revision: 41, Version: 7, Age: 12, StoreHealthyFor: 3000,
 		Domains: []string{"a", "b"},
 		Members: []Member{{Addr: [4]byte{10, 0, 0, 1}, Domain: 1, Age: 250}},
-		Change: &Change{After: 40, Change: &catalog.Change{Revision: 41, Servers: []catalog.Server{{
+		Change: &Change{After: 40, Change: &catalog.Change{Epoch: 2, Revision: 41, Servers: []catalog.Server{{
 			ID: 9, Name: "i-9", Started: 1777524144506, Service: "feed", Domain: "b",
-			Addr: netip.MustParseAddrPort("10.0.0.9:80"), Slots: 2, Draining: true, WarmUp: time.Second, Revision: 41,
+			Addr: netip.MustParseAddrPort("10.0.0.9:80"), Slots: 2, Draining: true, WarmUp: time.Second, Revision: 41, Sequence: 5,
 		}}}},
 		SentAt: 1234567, SubscribeAge: 20, StoreUnreachable: true,
 		Evidence: []ServerEvidence{{Token: 78, RequestsTenths: 125, FailuresTenths: 15}}, ToSource: true,
@@ -39,7 +39,7 @@
 	if !reflect.DeepEqual(got, sampleMessage()) {
 		t.Errorf("decoded message is %+v, want %+v", got, sampleMessage())
 	}
-	cfg := &catalog.Change{Revision: 3, Full: true, Config: &catalog.Config{Version: 2, Routes: []catalog.Route{{
+	cfg := &catalog.Change{Epoch: 2, Revision: 3, Full: true, Config: &catalog.Config{Version: 2, Routes: []catalog.Route{{
 		Name: "r", Dest: netip.MustParseAddrPort("1.1.1.1:80"), Kind: catalog.Upload, Priority: 2,
 		Targets: []catalog.Target{{Service: "s", Weight: 3}},
 	}}, IdleTimeout: time.Second}, Removed: []catalog.Removal{{ID: 1, Revision: 2}}}
