Hold packets of open flows whose route is not known, instead of resetting the flows

A flow on a route that was added moments ago is reset (FLOW) when its packets reach an instance that has not read the configuration yet: by a planned stop of the instance that opened it, or one that has just joined. The instance took its own configuration for the present one.

Such a packet is held like one with an unknown token, and decided again when the catalog has changed. SYNs are refused at once as before.

TestOpenFlowOnARouteNotKnownYetIsNotReset failed with a reset before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -412,9 +412,9 @@
 	return Listed
 }
 
-// AbsenceConfirmed reports whether a server that was not in the catalog at the given
-// time cannot be running: the store was read since and had been healthy for longer
-// than goneTimeout before that read.
+// AbsenceConfirmed reports whether a server or a route that is not in the catalog was
+// not there at the given time either: the store was read since and had been healthy
+// for longer than goneTimeout before that read.
 func (c *Catalog) AbsenceConfirmed(at time.Duration) bool {
 	return c.loaded && c.asOf >= at && c.healthySince > 0 && c.asOf-c.healthySince > goneTimeout
 }
--- /dev/null
+++ b/core/steer/alive_test.go
@@ -0,0 +1,46 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egrettack.example/core/catalog"
+)
+
+// Guards against resetting an open flow on a route that was added moments ago, at an instance that has not read it yet.
+func TestOpenFlowOnARouteNotKnownYetIsNotReset(t *testing.T) {
+	l := newFixture(t)
+	added := netip.MustParseAddrPort("198.18.0.3:443")
+	p := &Packet{Caller: l.newCaller(), Dest: added, ACK: true, Seq: 500, Ack: 9, Len: 10, Token: l.serverByID(1).Token}
+	l.Expect(l.engine.Decide(l.now, p).Action).To(Equal(Hold))
+	heldAt := l.now
+	l.now += 500 * time.Millisecond
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Config: &catalog.Config{Version: 2, Routes: []catalog.Route{
+		{Dest: feed, Targets: []catalog.Target{{Service: "feed", Weight: 1}}},
+		{Dest: added, Targets: []catalog.Target{{Service: "feed", Weight: 1}}},
+	}}})
+	v := l.engine.DecideHeld(l.now, heldAt, p)
+	l.Expect(v.Action).To(Equal(Forward))
+	l.Expect(v.Server.ID).To(Equal(catalog.ServerID(1)))
+}
+
+// Guards against flows of a dropped route that hang: they are reset as soon as the store was read.
+func TestFlowOfADroppedRouteIsReset(t *testing.T) {
+	l := newFixture(t)
+	p := &Packet{Caller: l.newCaller(), Dest: netip.MustParseAddrPort("198.18.0.3:443"), ACK: true, Seq: 500, Ack: 9, Token: l.serverByID(1).Token}
+	l.now += time.Minute
+	l.catalog.Confirm(l.now, l.catalog.Position())
+	for range 6 {
+		l.now += 500 * time.Millisecond
+		l.catalog.Confirm(l.now, l.catalog.Position())
+	}
+	l.Expect(l.engine.Decide(l.now, p).Action).To(Equal(Hold))
+	heldAt := l.now + 1
+	l.now += 500 * time.Millisecond
+	l.Expect(l.engine.DecideHeld(l.now, heldAt, p).Action).To(Equal(Hold), "the store was not read yet")
+	l.catalog.Confirm(l.now, l.catalog.Position())
+	l.Expect(l.engine.DecideHeld(l.now, heldAt, p)).To(Equal(Verdict{Action: Reset, Reason: NoRoute}))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -60,12 +60,14 @@
 		return Verdict{Action: Hold, Reason: NotLoaded}
 	}
 	route := e.catalog.Route(p.Dest)
-	if route == nil {
-		e.removeFlowByKey(Key{p.Caller, p.Dest})
-		if p.RST {
-			return Verdict{Action: Drop, Reason: NoRoute}
-		}
+	switch {
+	case route == nil && p.RST:
+		return Verdict{Action: Drop, Reason: NoRoute}
+	case route == nil && p.SYN:
 		return Verdict{Action: Reset, Reason: NoRoute}
+	case route == nil:
+		// The flow may be open by a configuration that this instance lacks.
+		return Verdict{Action: Hold, Reason: NoRoute}
 	}
 	if p.SYN {
 		return e.openFlow(now, p, route, e.chooseService(route))
@@ -171,13 +173,19 @@
 func (e *Engine) DecideHeld(now, heldAt time.Duration, p *Packet) Verdict {
 	v := e.Decide(now, p)
 	if v.Action == Hold && !p.SYN && e.catalog.Complete() && e.catalog.AbsenceConfirmed(heldAt) {
-		// The store was read since the packet arrived, and none of its servers
-		// has the token.
-		return Verdict{Action: Reset, Reason: UnknownToken}
+		// The store was read since the packet arrived, and has no route to the
+		// address or no server with the token.
+		e.removeFlowByKey(Key{p.Caller, p.Dest})
+		return Verdict{Action: Reset, Reason: v.Reason}
 	}
 	return v
 }
 
 // HoldTimeoutVerdict returns the verdict on a packet that was held for the
 // longest time allowed.
-func (e *Engine) HoldTimeoutVerdict() Verdict { return Verdict{Action: Drop, Reason: UnknownToken} }
+func (e *Engine) HoldTimeoutVerdict(p *Packet) Verdict {
+	if e.catalog.Route(p.Dest) == nil {
+		return Verdict{Action: Drop, Reason: NoRoute}
+	}
+	return Verdict{Action: Drop, Reason: UnknownToken}
+}
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -360,7 +360,7 @@
 	p := &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Ack: 5, Token: 12345}
 	l.Expect(l.engine.Decide(l.now, p).Action).To(Equal(Hold))
 	l.Expect(l.engine.DecideHeld(l.now, l.now, p).Action).To(Equal(Hold))
-	l.Expect(l.engine.HoldTimeoutVerdict().Action).To(Equal(Drop))
+	l.Expect(l.engine.HoldTimeoutVerdict(p).Action).To(Equal(Drop))
 	for range 8 {
 		l.now += 500 * time.Millisecond
 		l.catalog.Confirm(l.now, catalog.Position{Revision: 10})
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -132,7 +132,7 @@
 	out := make([]byte, 0, readBuffer)
 	for n < len(i.held.packets) && now-i.held.packets[n].receivedAt > maxHoldTime {
 		h := &i.held.packets[n]
-		i.execute(now, now-h.receivedAt, i.engine.HoldTimeoutVerdict(), &h.packet, h.data, out)
+		i.execute(now, now-h.receivedAt, i.engine.HoldTimeoutVerdict(&h.packet), &h.packet, h.data, out)
 		n++
 	}
 	i.held.packets = i.held.packets[n:]
