Let a server lose its address only to one that started and was published later

A server whose address another entry had with a higher revision counted as ended: its flows were reset (FLOW) and it got no new ones, for good. A write of a server that has ended may be done seconds late; it then has a higher revision than the entry of the server that has the address now.

Now the other server must have started later, by its own entry, and its first entry must have been written later. If only one holds, both servers stay in use; the one that has ended does not respond and is avoided. The position of the first entry does not change with later writes, nor with a restore of the store, which lists earlier holders of addresses again.

TestLateWriteOfAnEndedServerEndsNoOther (reset) and TestLateWriteOfAnEndedServerIsForgotten (not active) failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -39,7 +39,7 @@
 	byToken       map[token.Token]*Server
 	byFormerToken map[token.Token]*Server    // by the tokens of the former release
 	byService     map[string][]*Server       // active servers, unordered
-	byAddr        map[netip.AddrPort]*Server // the server published last with each address
+	byAddr        map[netip.AddrPort]*Server // the server whose incarnation was published last with each address
 	generation    uint64
 
 	asOf         time.Duration // time at which the store was not ahead of revision
@@ -142,6 +142,7 @@
 	if c.loaded {
 		return result
 	}
+	c.epoch = max(c.epoch, ch.Epoch)
 	result.ConfigChanged = c.applyConfig(ch.Config)
 	for i := range ch.Servers {
 		c.putServer(now, ch.Servers[i], &result)
@@ -306,6 +307,7 @@
 	}
 	entry.Token = token.ForServer(uint64(entry.ID))
 	entry.FirstSeen, entry.MissingSince = now, 0
+	entry.published = Position{c.epoch, entry.Revision}
 	c.servers[entry.ID] = &entry
 	if old != nil {
 		delete(c.byFormerToken, old.formerToken())
@@ -357,18 +359,18 @@
 	}
 }
 
-// findTakenAddresses marks the servers whose addresses other servers were
-// published with later. Addresses are only reused after their server has ended,
-// whose entry may not have expired yet.
+// findTakenAddresses marks the servers whose addresses other servers have taken.
+// Addresses are only reused after their server has ended, whose entry may not have
+// expired yet.
 func (c *Catalog) findTakenAddresses() {
 	clear(c.byAddr)
 	for _, s := range c.servers {
-		if holder := c.byAddr[s.Addr]; holder == nil || s.Revision > holder.Revision {
+		if last := c.byAddr[s.Addr]; last == nil || last.published.Before(s.published) {
 			c.byAddr[s.Addr] = s
 		}
 	}
 	for _, s := range c.servers {
-		if c.byAddr[s.Addr] != s {
+		if c.byAddr[s.Addr].tookAddress(s) {
 			s.addressTaken = true
 		}
 	}
@@ -383,7 +385,7 @@
 	Unlisted                     // its entry is missing, not for long or not from a healthy store
 	Gone                         // its entry has been missing from a healthy store for longer than goneTimeout
 	Left                         // Gone, and it was draining when its entry was removed from a healthy store
-	AddressTaken                 // another server was published later with its address
+	AddressTaken                 // another server has taken its address
 	numPresences
 )
 
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -61,11 +61,14 @@
 	FirstSeen time.Duration `cbor:"-"`
 	// MissingSince is when the entry was found missing, 0 while it is published.
 	MissingSince time.Duration `cbor:"-"`
+	// published is the position of the first entry of this incarnation that this
+	// instance has seen.
+	published Position
 	// left is set if the server was draining when its entry was removed from a
 	// healthy store.
 	left bool
-	// addressTaken is set if another server was published later with the same
-	// address, which this server has therefore lost.
+	// addressTaken is set if another server has taken the address, which this server
+	// has therefore lost.
 	addressTaken bool
 	// restored is set if what is known is of an earlier epoch than the catalog's, and
 	// the entry has not been read since.
@@ -80,6 +83,13 @@
 	return entry.Started < s.Started || entry.Started == s.Started && entry.Sequence <= s.Sequence
 }
 
+// tookAddress reports whether the server has taken the address of another one, which
+// has therefore ended: it started later and was published later. One of these alone does
+// not show it, since clocks differ and a write of a server may be done after its end.
+func (s *Server) tookAddress(from *Server) bool {
+	return s.Addr == from.Addr && s.Started >= from.Started && from.published.Before(s.published)
+}
+
 func (s *Server) formerToken() token.Token { return token.ForIncarnation(uint64(s.ID), s.Started) }
 
 // Published reports whether the server has an entry in the store.
--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -44,3 +44,37 @@
 	l.catalog.Confirm(l.now, l.catalog.Position())
 	l.Expect(l.engine.DecideHeld(l.now, heldAt, p)).To(Equal(Verdict{Action: Reset, Reason: NoRoute}))
 }
+
+// takeAddress publishes a server 7 with the address of server 1, which has ended, and then removes the entry of that one.
+func (l *fixture) takeAddress() (ended, next *catalog.Server) {
+	ended = l.serverByID(1)
+	s := newServer(7, "feed", "a")
+	s.Addr, s.Revision = ended.Addr, 20
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 20, Servers: []catalog.Server{s}})
+	l.now += time.Second
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 21, Removed: []catalog.Removal{{ID: 1, Revision: 21}}})
+	return ended, l.serverByID(7)
+}
+
+// Guards against resetting the flows of a running server because of a late write of the server that had its address before.
+func TestLateWriteOfAnEndedServerEndsNoOther(t *testing.T) {
+	l := newFixture(t)
+	ended, next := l.takeAddress()
+	late := *ended
+	late.Revision = 22
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 22, Servers: []catalog.Server{late}})
+	l.Expect(l.request(l.openFlowTo(next), 101, 1).Action).To(Equal(Forward))
+}
+
+// Guards against a running server that gets no new flows for good after such a write, since its own entry does not change.
+func TestLateWriteOfAnEndedServerIsForgotten(t *testing.T) {
+	l := newFixture(t)
+	ended, next := l.takeAddress()
+	late := *ended
+	late.Revision = 22
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 22, Servers: []catalog.Server{late}})
+	l.now += 5 * time.Second
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 23, Removed: []catalog.Removal{{ID: 1, Revision: 23}}})
+	l.Expect(l.catalog.Presence(next)).To(Equal(catalog.Listed))
+	l.Expect(l.catalog.Active(next)).To(BeTrue())
+}
