Drop a copy of a SYN whose flow is open

A copy of a SYN that arrived after the end of the handshake, delayed or on a repeated datagram, counted as a new flow on a reused port: the instance forgot the flow's server and sent the SYN to another one, whose answer changes the caller's token, so that the packets of the open flow went there (FLOW).

A SYN with the sequence number of an open flow is a copy and is dropped. A reused port has another sequence number.

TestLateCopyOfASYNIsDropped failed before: the copy was forwarded.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -78,3 +78,17 @@
 	l.Expect(l.catalog.Presence(next)).To(Equal(catalog.Listed))
 	l.Expect(l.catalog.Active(next)).To(BeTrue())
 }
+
+// Guards against taking a copy of a SYN that arrives after the end of the handshake for a new flow: its packets would go to another server.
+func TestLateCopyOfASYNIsDropped(t *testing.T) {
+	l := newFixture(t)
+	from := l.newCaller()
+	first := l.sendSYN(from, feed, 0).Server
+	l.now += 200 * time.Millisecond
+	l.completeHandshake(from, feed, first)
+	l.now += time.Millisecond
+	l.Expect(l.sendSYN(from, feed, 1).Action).To(Equal(Drop))
+	other := l.serverByID(3 - first.ID)
+	v := l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 101, Ack: 1, Len: 50, Token: other.Token})
+	l.Expect(v.Server).To(BeIdenticalTo(first), "the token of a second answer")
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -91,7 +91,10 @@
 func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route, service string) Verdict {
 	key := Key{p.Caller, p.Dest}
 	f := e.flows[key]
-	if f != nil && (f.established || f.synSeq != p.Seq) {
+	if f != nil && f.synSeq == p.Seq && f.established {
+		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
+	}
+	if f != nil && f.synSeq != p.Seq {
 		// The caller reuses the address and port for a new flow.
 		e.removeFlow(key, f)
 		f = nil
