Keep an open flow at the server that has sent data to its caller

Several servers may answer the copies of a SYN, and the caller returns the token that it received last. An instance that had not seen the SYN followed a late answer's token to a server that does not have the flow, which resets it (FLOW); one that had seen the SYN, while the flow opened through another instance, stuck to the server whose token came first.

The server of a flow is confirmed when the caller acknowledges more data with its token. A confirmed server keeps the flow; before that, a token that comes with an acknowledgement of more data wins. An instance that sees its first packet of a flow with a late answer's token still follows it.

TestLateAnswerDoesNotMoveAFlowOpenedElsewhere and TestFlowThatOpenedElsewhereFollowsTheServerThatResponds failed before; TestLateAnswerOfAnotherServer passes unchanged.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -92,3 +92,31 @@
 	v := l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 101, Ack: 1, Len: 50, Token: other.Token})
 	l.Expect(v.Server).To(BeIdenticalTo(first), "the token of a second answer")
 }
+
+// Guards against a flow that stays with the wrong server: it opened through another instance, and the first packet here carried the token of the late answer to a copy of its SYN.
+func TestFlowThatOpenedElsewhereFollowsTheServerThatResponds(t *testing.T) {
+	l := newFixture(t)
+	from := l.newCaller()
+	first := l.sendSYN(from, feed, 0).Server
+	l.now += 200 * time.Millisecond
+	second := l.sendSYN(from, feed, 1).Server
+	l.now += 300 * time.Millisecond
+	l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 151, Ack: 1000, Len: 50, Token: second.Token})
+	// The first server has sent more, and its token with it.
+	for seq := uint32(201); seq < 601; seq += 50 {
+		l.now += 50 * time.Millisecond
+		v := l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: seq, Ack: 1800 + seq, Len: 50, Token: first.Token})
+		l.Expect(v.Server).To(BeIdenticalTo(first))
+	}
+}
+
+// Guards against packets of an open flow that go to a second server at an instance that has seen only its later packets: a late answer to a copy of its SYN has changed its token.
+func TestLateAnswerDoesNotMoveAFlowOpenedElsewhere(t *testing.T) {
+	l := newFixture(t)
+	first, second := l.serverByID(1), l.serverByID(2)
+	f := l.openFlowTo(first)
+	l.request(f, 101, 1)
+	l.request(f, 151, 1001) // acknowledges a response
+	f.Token = second.Token
+	l.Expect(l.request(f, 201, 2001).Server).To(BeIdenticalTo(first))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -138,11 +138,7 @@
 		e.removeFlow(key, f)
 		f = nil
 	}
-	if f != nil && len(f.tried) > 0 && f.established {
-		// Several servers may have answered the SYN and its retransmissions, also by
-		// way of another instance. The caller returns the token that it received
-		// last, but the flow is open at the server that the first packet after the
-		// handshake went to.
+	if e.staysAt(f, s, p) {
 		s = e.catalog.Latest(f.server)
 	}
 	if s != nil {
@@ -171,6 +167,22 @@
 	return Verdict{Action: Forward, Reason: Token, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
 }
 
+// staysAt reports whether a packet goes to the server that this instance has seen its
+// flow at, and not to the one that its token identifies. Several servers may have
+// answered the SYN and its retransmissions, also by way of another instance. The caller
+// returns the token that it received last, but the flow is open at the server that the
+// first packet after the handshake went to, and that has sent data since.
+func (e *Engine) staysAt(f *flowEntry, s *catalog.Server, p *Packet) bool {
+	if f == nil || !f.established {
+		return false
+	}
+	progress := int32(p.Ack-f.highestAck) > 0 // sequence numbers wrap around
+	if progress && s != nil && s == e.catalog.Latest(f.server) {
+		f.confirmed = true
+	}
+	return f.confirmed || len(f.tried) > 0 && !progress
+}
+
 // DecideHeld decides again on a held packet, after the catalog was updated.
 // heldAt is the time at which the packet arrived.
 func (e *Engine) DecideHeld(now, heldAt time.Duration, p *Packet) Verdict {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -39,6 +39,7 @@
 	nextSeq     uint32            // end of the data seen
 	highestAck  uint32            // highest acknowledgement seen
 	established bool              // a packet after the handshake was seen
+	confirmed   bool              // the caller has acknowledged data with the token of server
 	lastPacket  time.Duration
 	handshake   time.Duration // from the SYN to the first packet after the handshake, 0 if not known
 	spill       spill
