Reset no flow because the entry of its server is missing

Open flows of a running server could be reset (FLOW) when its entry had been missing for 2.5 s and two packets of any of its flows had been sent again at least 0.4 s apart: a request on which the server works for 0.6 s, since an end acknowledges every second packet only; single losses on two flows; SYNs that a full server does not answer. Flows of a draining server were reset 2.5 s after its entry had gone, although it still sent data.

A missing entry alone no longer resets flows. A server that was draining has left if it has not responded since its entry is missing. Callers of a server that crashed wait for their own time limit, as before the entry was removed.

TestSlowServerWithoutEntryKeepsItsFlows, TestLossesOnDifferentFlowsAreNoSilence, TestFullServerWithoutEntryKeepsItsFlows and TestDrainingServerWithoutEntryThatAnswersKeepsItsFlows failed with resets before. TestResponseEndsSilence checks the silence itself, which placing still uses.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -393,8 +393,8 @@
 
 func (p Presence) String() string { return presenceNames[p] }
 
-// Ended reports whether the server has certainly ended. A server that is Gone may
-// still be running if the store does not accept its entry.
+// Ended reports whether the store shows that the server has ended. A server that is
+// Gone may still be running if the store does not accept its entry.
 func (p Presence) Ended() bool { return p == Left || p == AddressTaken }
 
 // Presence returns what is known of whether a server runs. s is its latest
--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -120,3 +120,75 @@
 	f.Token = second.Token
 	l.Expect(l.request(f, 201, 2001).Server).To(BeIdenticalTo(first))
 }
+
+// Guards against resetting the flows of a draining server that still answers, after the store has refused its writes for a while.
+func TestDrainingServerWithoutEntryThatAnswersKeepsItsFlows(t *testing.T) {
+	l := newFixture(t)
+	draining := newServer(1, "feed", "a")
+	draining.Draining, draining.Revision = true, 11
+	l.now += time.Hour
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Servers: []catalog.Server{draining}})
+	s := l.serverByID(1)
+	f, ack := l.openFlowTo(s), uint32(1)
+	for n := range 24 {
+		if n == 12 {
+			l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 12, Removed: []catalog.Removal{{ID: 1, Revision: 12}}})
+		}
+		// A long download: the caller acknowledges what arrives.
+		ack += 2400
+		v := l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: feed, ACK: true, Seq: 101, Ack: ack, Token: f.Token})
+		l.Expect(v.Action).To(Equal(Forward), "packet %d, server %s", n, l.catalog.Presence(s))
+		l.now += 500 * time.Millisecond
+		l.catalog.Confirm(l.now, l.catalog.Position())
+	}
+}
+
+// Guards against taking single losses on different flows of a server without an entry for its silence: callers acknowledge every second packet, so a response of one packet shows only with the next request.
+func TestLossesOnDifferentFlowsAreNoSilence(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	lost := func(f flowEnds) Action {
+		l.request(f, 101, 1)
+		l.now += 200 * time.Millisecond
+		return l.request(f, 101, 1).Action // arrives and is answered
+	}
+	l.Expect(lost(l.openFlowTo(s))).To(Equal(Forward))
+	l.now += 400 * time.Millisecond
+	l.Expect(lost(l.openFlowTo(s))).To(Equal(Forward))
+}
+
+// Guards against resetting a request on which a server without an entry works for longer than two retransmissions take: it acknowledges every second packet, so a request of one packet is acknowledged by the response.
+func TestSlowServerWithoutEntryKeepsItsFlows(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	f := l.openFlowTo(s)
+	for _, pause := range []time.Duration{0, 200, 400} {
+		l.now += pause * time.Millisecond
+		l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward), "at %s", l.now)
+	}
+}
+
+// Guards against resetting idle flows of a running server that is full, since it does not answer SYNs then, after its entry has expired.
+func TestFullServerWithoutEntryKeepsItsFlows(t *testing.T) {
+	l := newFixture(t)
+	l.now += time.Minute
+	var tried []catalog.ServerID
+	from := l.newCaller()
+	s := l.sendSYN(from, upload, 0).Server
+	f := flowEnds{Caller: l.newCaller(), Dest: upload, Token: s.Token}
+	l.request(f, 101, 1)
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 20, Removed: []catalog.Removal{{ID: s.ID, Revision: 20}}})
+	l.now += 2 * time.Second
+	l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
+	from = l.newCaller()
+	for copies, pause := range []time.Duration{0, 200, 400} {
+		l.now += pause * time.Millisecond
+		if v := l.sendSYN(from, upload, copies); v.Server != nil {
+			tried = append(tried, v.Server.ID)
+		}
+	}
+	l.Expect(tried).NotTo(BeEmpty())
+	l.now += 500 * time.Millisecond
+	l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
+	l.Expect(l.request(f, 151, 1).Action).To(Equal(Forward), "server %s", l.catalog.Presence(s))
+}
--- a/core/steer/choose.go
+++ b/core/steer/choose.go
@@ -43,7 +43,8 @@
 	openFlows, inFlight int           // flows, and requests without a response
 	unansweredSince     time.Duration // first SYN since the server's last response, 0 if there was none
 	lastSYN             time.Duration
-	silence             silence
+	silent              bool          // a caller has sent a packet again since the server's last response
+	lastResponse        time.Duration // 0 before the first
 
 	history       outlier.History
 	heard         []heardEvidence // of the neighbours
@@ -129,8 +130,6 @@
 	st.lastSYN = now
 }
 
-func (st *serverState) responded() { st.unansweredSince, st.silence = 0, silence{} }
-
 // unresponsive reports whether the server is to be avoided: a SYN has been
 // unanswered for too long, and no trial is due.
 func (st *serverState) unresponsive(now time.Duration) bool {
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -115,7 +115,7 @@
 		f = &flowEntry{synSeq: p.Seq, nextSeq: p.Seq + 1}
 		e.flows[key] = f
 	} else {
-		e.state(f.server).silence.add(now)
+		e.state(f.server).silent = true
 	}
 	f.lastPacket = now
 	e.assign(now, f, at.server)
@@ -154,9 +154,7 @@
 	case !e.catalog.MayHaveFlows(route, s.Service):
 		return Verdict{Action: Drop, Reason: WrongService}
 	}
-	if presence := e.catalog.Presence(s); presence.Ended() || presence == catalog.Gone && e.state(s).silence.confirmed(now) {
-		// A server without an entry may still be running, so its flows are only
-		// reset while it is silent.
+	if presence, ended := e.hasEnded(s); ended {
 		e.removeFlowByKey(key)
 		v := Verdict{Action: Reset, Reason: ServerGone, Server: s, Presence: presence}
 		if p.RST {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -198,7 +198,7 @@
 	f.lastPacket = now
 	// Sequence numbers wrap around.
 	if progress := int32(p.Ack-f.highestAck) > 0; !f.established || progress {
-		e.state(s).responded()
+		e.state(s).responded(now)
 		if r := &f.request; f.established && progress {
 			if r.inFlight {
 				responseTime = now - r.startedAt
--- a/core/steer/room.go
+++ b/core/steer/room.go
@@ -72,7 +72,7 @@
 	p := e.pool(service)
 	for i := range p.sameDomain {
 		c := &p.sameDomain[i]
-		if c.state.silence.first > 0 || c.state.unresponsive(now) {
+		if c.state.silent || c.state.unresponsive(now) {
 			continue
 		}
 		slots += c.server.Slots
