Keep a server when another key has its ID

The ID of a server is the hex digits of its key, so that a second key, such as that of another writer's entry, can have the ID of a server. An entry under it replaced the server, with its address; its removal, or an unreadable entry under it, removed the server.

Removals that were read from the store name the key, and an entry under a second key is ignored while the server is published. A full list without the server's key removes the server, whatever the other key is. Messages between instances are as before: peers have one server of each ID, and a follower takes over that of its source.

Before, TestSecondKeyOfAnID and TestServerIsMissingAlthoughAnotherKeyHasItsID failed: the server had the name and the address of the other entry, or stayed for ever.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -145,7 +145,9 @@
 	c.epoch = max(c.epoch, ch.Epoch)
 	result.ConfigChanged = c.applyConfig(ch.Config)
 	for i := range ch.Servers {
-		c.putServer(now, ch.Servers[i], &result)
+		if !c.isSecondKey(ch, &ch.Servers[i]) {
+			c.putServer(now, ch.Servers[i], &result)
+		}
 	}
 	if len(result.Added)+len(result.Changed) > 0 {
 		c.rebuildIndex()
@@ -222,10 +224,12 @@
 		c.loaded, c.forgottenRevision = true, max(c.forgottenRevision, ch.Revision)
 	}
 	for i := range ch.Servers {
-		c.putServer(now, ch.Servers[i], &result)
+		if !c.isSecondKey(ch, &ch.Servers[i]) {
+			c.putServer(now, ch.Servers[i], &result)
+		}
 	}
 	for _, r := range ch.Removed {
-		if s := c.servers[r.ID]; s != nil && s.Published() && r.Revision > s.Revision {
+		if s := c.servers[r.ID]; s != nil && s.Published() && r.Revision > s.Revision && (r.Name == "" || r.Name == s.Name) {
 			c.removeServer(now, s, r.Revision, &result)
 		}
 	}
@@ -265,12 +269,16 @@
 // markMissing removes the published servers that a full list does not contain,
 // except those that were published after it.
 func (c *Catalog) markMissing(now time.Duration, ch *Change, result *ApplyResult) {
-	listed := make(map[ServerID]bool, len(ch.Servers))
+	type key struct {
+		id   ServerID
+		name string
+	}
+	listed := make(map[key]bool, len(ch.Servers))
 	for i := range ch.Servers {
-		listed[ch.Servers[i].ID] = true
+		listed[key{ch.Servers[i].ID, ch.Servers[i].Name}] = true
 	}
 	for id, s := range c.servers {
-		if s.Published() && s.Revision <= ch.Revision && !listed[id] {
+		if s.Published() && s.Revision <= ch.Revision && !listed[key{id, s.Name}] {
 			c.removeServer(now, s, ch.Revision, result)
 		}
 	}
@@ -281,6 +289,13 @@
 	result.Removed = append(result.Removed, s)
 }
 
+// isSecondKey reports whether an entry of the store has the ID of a published server
+// and another key. The server that was published first stays; peers have only one.
+func (c *Catalog) isSecondKey(ch *Change, entry *Server) bool {
+	s := c.servers[entry.ID]
+	return ch.FromStore && s != nil && s.Published() && s.Name != entry.Name
+}
+
 // putServer adds or updates a server unless a newer entry is known.
 func (c *Catalog) putServer(now time.Duration, entry Server, result *ApplyResult) {
 	old := c.servers[entry.ID]
@@ -299,7 +314,7 @@
 	}
 	if old != nil && old.Started == entry.Started {
 		// Open flows refer to this record, so it is updated in place.
-		old.Service, old.Domain, old.Addr, old.Slots = entry.Service, entry.Domain, entry.Addr, entry.Slots
+		old.Name, old.Service, old.Domain, old.Addr, old.Slots = entry.Name, entry.Service, entry.Domain, entry.Addr, entry.Slots
 		old.Draining, old.Sequence, old.Revision, old.MissingSince = entry.Draining, entry.Sequence, entry.Revision, 0
 		old.left, old.addressTaken = false, false
 		result.Changed = append(result.Changed, old)
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -339,3 +339,50 @@
 	})
 	return fmt.Sprint(found)
 }
+
+func fromStore(ch *Change) *Change {
+	ch.FromStore = true
+	return ch
+}
+
+// Guards against an entry, or the removal of one, that replaces or removes a server
+// whose ID has the same digits under another key.
+func TestSecondKeyOfAnID(t *testing.T) {
+	g := NewWithT(t)
+	real, odd := server(1, 3), server(1, 11)
+	odd.Name, odd.Addr, odd.Started = "j/1", netip.MustParseAddrPort("10.9.9.9:9"), 7
+	c := New()
+	c.Apply(second, second, second, fromStore(fullChange(10, config(1, "1.1.1.1:80"), real, server(2, 4))))
+	expectReal := func(step string) {
+		g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)), step)
+		g.Expect(c.servers[1].Name).To(Equal(real.Name), step)
+		g.Expect(c.servers[1].Addr).To(Equal(real.Addr), step)
+		g.Expect(c.servers[1].Published()).To(BeTrue(), step)
+	}
+	c.Apply(2*second, 2*second, 2*second, fromStore(&Change{Revision: 11, Servers: []Server{odd}}))
+	expectReal("entry under the other key")
+	c.Apply(3*second, 3*second, 3*second, fromStore(&Change{Revision: 12, Removed: []Removal{{ID: 1, Name: "j/1", Revision: 12}}}))
+	expectReal("removal of the other key")
+	odd.Revision = 13
+	c.Apply(4*second, 4*second, 4*second, fromStore(fullChange(13, nil, odd, real, server(2, 4))))
+	expectReal("full list with both")
+	c.Apply(5*second, 5*second, 5*second, fromStore(&Change{Revision: 14, Removed: []Removal{{ID: 1, Name: real.Name, Revision: 14}}}))
+	g.Expect(c.servers[1].Published()).To(BeFalse())
+}
+
+// Guards against a server that is never removed because another key has its ID.
+func TestServerIsMissingAlthoughAnotherKeyHasItsID(t *testing.T) {
+	g := NewWithT(t)
+	odd := server(1, 11)
+	odd.Name, odd.Addr = "j/1", netip.MustParseAddrPort("10.9.9.9:9")
+	c := New()
+	c.Apply(second, second, second, fromStore(fullChange(10, config(1, "1.1.1.1:80"), server(1, 3), server(2, 4))))
+	c.Apply(2*second, 2*second, 2*second, fromStore(fullChange(11, nil, odd, server(2, 4))))
+	g.Expect(c.servers[1].Name).To(Equal("j/1"))
+	g.Expect(c.servers[1].Addr).To(Equal(odd.Addr))
+	// A follower takes over what its source has.
+	f := New()
+	f.Apply(second, second, second, fullChange(10, config(1, "1.1.1.1:80"), server(1, 3), server(2, 4)))
+	f.Apply(2*second, 2*second, 2*second, c.Since(2*second, Position{Revision: 10}, 1, true))
+	g.Expect(f.servers[1].Name).To(Equal("j/1"))
+}
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -169,6 +169,9 @@
 	ConfigDiff *ConfigDiff `cbor:"6,keyasint,omitempty"`
 	Servers    []Server    `cbor:"4,keyasint,omitempty"`
 	Removed    []Removal   `cbor:"5,keyasint,omitempty"`
+	// FromStore means that the change was read from the store. There a second key may
+	// have the ID of a server.
+	FromStore bool `cbor:"-"`
 }
 
 // Position returns the state of the store up to which the change is complete.
@@ -178,4 +181,6 @@
 type Removal struct {
 	ID       ServerID `cbor:"1,keyasint"`
 	Revision Revision `cbor:"2,keyasint"`
+	// Name is that of the server whose entry was removed, "" if any of this ID was.
+	Name string `cbor:"-"`
 }
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -254,6 +254,7 @@
 		at = i.catalog.AsOf()
 	}
 	now := i.clock.now()
+	ch.FromStore = true
 	i.applyChange(now, at, 0, ch, sourceName(netip.Addr{}))
 	i.informSource(now, netip.Addr{})
 }
--- a/node/edge/load.go
+++ b/node/edge/load.go
@@ -180,6 +180,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.clock.now()
+	ch.FromStore = true
 	i.logApplied(i.catalog.AddPartial(now, ch), ch, sourceName(netip.Addr{}), now-at)
 	i.retryHeld(now)
 }
