Let servers of unnamed services take no addresses

An entry that repeats the address of a server with a higher revision, and a service that no configuration names, made the catalog believe that the server had lost its address: its open flows were reset, and it got no new ones until its own entry changed, even after the other entry was removed.

Only servers of services that are targets of the routes, or were targets of routes that still exist, take addresses and can lose them. The others stay in the catalog, and a configuration that names their service puts them into use; the index is built again with each configuration, also with one in a change whose servers are outdated. The services that the configuration lists without a route are not decoded: none of their servers has flows.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -194,6 +194,7 @@
 	}
 	c.routes.replace(cfg)
 	c.config = cfg
+	c.rebuildIndex() // other services may be named
 	return true
 }
 
@@ -374,18 +375,26 @@
 	}
 }
 
+// named reports whether the configuration names the service of a server. The others
+// get no flows and take no addresses: their entries may come from another writer, or
+// a later configuration may name their service.
+func (c *Catalog) named(s *Server) bool { return c.routes.services[s.Service] }
+
 // findTakenAddresses marks the servers whose addresses other servers have taken.
 // Addresses are only reused after their server has ended, whose entry may not have
 // expired yet.
 func (c *Catalog) findTakenAddresses() {
 	clear(c.byAddr)
 	for _, s := range c.servers {
+		if !c.named(s) {
+			continue
+		}
 		if last := c.byAddr[s.Addr]; last == nil || last.published.Before(s.published) {
 			c.byAddr[s.Addr] = s
 		}
 	}
 	for _, s := range c.servers {
-		if c.byAddr[s.Addr].tookAddress(s) {
+		if last := c.byAddr[s.Addr]; last != nil && last.tookAddress(s) {
 			s.addressTaken = true
 		}
 	}
--- a/core/catalog/routes.go
+++ b/core/catalog/routes.go
@@ -19,6 +19,7 @@
 	changedIn      map[netip.AddrPort]Version  // version that this instance first saw the route in as it is
 	removedIn      map[netip.AddrPort]Version  // the same of routes that were removed
 	formerServices map[netip.AddrPort][]string // former target services of the current routes
+	services       map[string]bool             // target services of the current routes, former ones included
 	completeSince  Version                     // differences from earlier versions are not known
 	checksum       uint64
 }
@@ -71,6 +72,15 @@
 		t.completeSince = cfg.Version
 	}
 	t.byDest = next
+	t.services = make(map[string]bool)
+	for dest, r := range next {
+		for _, target := range r.Targets {
+			t.services[target.Service] = true
+		}
+		for _, service := range t.formerServices[dest] {
+			t.services[service] = true
+		}
+	}
 }
 
 // keepFormerServices keeps the services of a route that its next form lacks:
