Treat an entry of an unnamed service as missing for a running server

An entry under the key of a server, with its start and a service that no configuration names, replaced the service and the address of the server in place: the packets of its open flows were dropped at once as those of another service (wrong_service), although the server serves.

Such an entry counts as the removal of the server's own: it gets no new flows, and its open flows go on until it also falls silent. An entry with another start is that of another incarnation as before.

Before, TestServerGetsEntryOfUnnamedService found the service 'unnamed' in place of 'feed'.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -314,6 +314,13 @@
 		}
 	}
 	if old != nil && old.Started == entry.Started {
+		if c.named(old) && !c.named(&entry) {
+			// The service does not change during a server's life.
+			if old.Published() {
+				c.removeServer(now, old, entry.Revision, result)
+			}
+			return
+		}
 		// Open flows refer to this record, so it is updated in place.
 		old.Name, old.Service, old.Domain, old.Addr, old.Slots = entry.Name, entry.Service, entry.Domain, entry.Addr, entry.Slots
 		old.Draining, old.Sequence, old.Revision, old.MissingSince = entry.Draining, entry.Sequence, entry.Revision, 0
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -430,3 +430,26 @@
 	g.Expect(serverIDs(c.ServersOf("unnamed"))).To(ConsistOf(ServerID(7)))
 	g.Expect(c.Presence(c.servers[1])).To(Equal(AddressTaken), "its address is that of a server of a named service now")
 }
+
+// Guards against an entry of an unnamed service under the key of a server: the packets
+// of its open flows would be dropped as those of another service.
+func TestServerGetsEntryOfUnnamedService(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, fullChange(10, config(1, "1.1.1.1:80"), server(1, 3), server(2, 4)))
+	odd := unnamedServer(1, 12, netip.MustParseAddrPort("10.9.9.9:9"))
+	addr := c.servers[1].Addr
+	for at := 2 * second; at < 4*second; at += second {
+		c.Apply(at, at, at, &Change{Revision: 12, Servers: []Server{odd}})
+		s := c.ByToken(token.ForServer(1))
+		g.Expect(s.Service).To(Equal("feed"))
+		g.Expect(s.Addr).To(Equal(addr))
+		g.Expect(c.Presence(s)).To(Equal(Unlisted))
+	}
+	f := New()
+	f.Apply(second, second, second, fullChange(10, config(1, "1.1.1.1:80"), server(1, 3), server(2, 4)))
+	f.Apply(4*second, 4*second, 4*second, c.Since(4*second, Position{Revision: 10}, 1, true))
+	g.Expect(f.servers[1].Published()).To(BeFalse())
+	c.Apply(5*second, 5*second, 5*second, &Change{Revision: 13, Servers: []Server{server(1, 13)}})
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+}
