Prefer the key of a named service among two keys of an ID

At a start, or after the history of the store was dropped, the key that comes first in the list won: an entry of a service that no configuration names kept a server with the same digits in its key out of use.

An entry of a named service replaces one under another key of a service that is not named, whichever is newer.

Before, TestUnnamedServiceUnderFirstKeyOfAnID found server 2 only, of 1 and 2.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -145,7 +145,7 @@
 	c.epoch = max(c.epoch, ch.Epoch)
 	result.ConfigChanged = c.applyConfig(ch.Config)
 	for i := range ch.Servers {
-		if !c.isSecondKey(ch, &ch.Servers[i]) {
+		if c.admits(ch, &ch.Servers[i]) {
 			c.putServer(now, ch.Servers[i], &result)
 		}
 	}
@@ -225,7 +225,7 @@
 		c.loaded, c.forgottenRevision = true, max(c.forgottenRevision, ch.Revision)
 	}
 	for i := range ch.Servers {
-		if !c.isSecondKey(ch, &ch.Servers[i]) {
+		if c.admits(ch, &ch.Servers[i]) {
 			c.putServer(now, ch.Servers[i], &result)
 		}
 	}
@@ -290,11 +290,20 @@
 	result.Removed = append(result.Removed, s)
 }
 
-// isSecondKey reports whether an entry of the store has the ID of a published server
-// and another key. The server that was published first stays; peers have only one.
-func (c *Catalog) isSecondKey(ch *Change, entry *Server) bool {
+// admits reports whether an entry may be put. In the store a second key may have the ID
+// of a published server. The one that was published first stays, unless only the other
+// one is of a named service; peers have only one.
+func (c *Catalog) admits(ch *Change, entry *Server) bool {
 	s := c.servers[entry.ID]
-	return ch.FromStore && s != nil && s.Published() && s.Name != entry.Name
+	switch {
+	case !ch.FromStore || s == nil || !s.Published() || s.Name == entry.Name:
+		return true
+	case c.named(s) || !c.named(entry):
+		return false
+	}
+	delete(c.servers, s.ID)
+	delete(c.byFormerToken, s.formerToken())
+	return true
 }
 
 // putServer adds or updates a server unless a newer entry is known.
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -453,3 +453,18 @@
 	c.Apply(5*second, 5*second, 5*second, &Change{Revision: 13, Servers: []Server{server(1, 13)}})
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
 }
+
+// Guards against an entry of an unnamed service that keeps out a server with its ID
+// because its key comes first in the list.
+func TestUnnamedServiceUnderFirstKeyOfAnID(t *testing.T) {
+	g := NewWithT(t)
+	odd := unnamedServer(1, 11, netip.MustParseAddrPort("10.9.9.9:9"))
+	odd.Name = "-1"
+	c := New()
+	c.AddPartial(second, fromStore(&Change{Config: config(1, "1.1.1.1:80"), Servers: []Server{odd, server(1, 3), server(2, 4)}}))
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+	c.Apply(second, second, second, fromStore(fullChange(12, nil, odd, server(1, 3), server(2, 4))))
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+	c.Apply(second, second, second, fromStore(&Change{Revision: 13, Removed: []Removal{{ID: 1, Name: "-1", Revision: 13}}}))
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+}
