Play odd entries of another writer beside real instances

The script odd-entries leaves 22 entries among those of the servers, deeply nested, with numbers and ports out of range, unreadable, of unknown services, with the address or the digits of a server, and keeps writing them. Two instances read them at their start, the others follow; no request may fail, a new route is in force in time, and the calls to the store stay within twice those before.

--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -29,6 +31,7 @@
 		{"silent-watch", "steady", short, 0, (*City).changeBehindSilentWatch},
 		{"crash-and-reuse", "mod", short, 0.05, (*City).crashAndReuse},
 		{"failing-servers", "steady", 12 * time.Second, 0.1, (*City).failServers},
+		{"odd-entries", "steady", 16 * time.Second, 0, (*City).leaveOddEntries},
 		{"restart-servers", "steady", 12 * time.Second, 0.1, (*City).restartServers},
 	}
 }
@@ -153,6 +156,102 @@
 	return i.Start()
 }
 
+// leaveOddEntries leaves entries of another writer among those of the servers, keeps
+// writing them, and starts instances that read them first. Afterwards the instances
+// follow changes as before, for about the same number of calls to the store.
+func (c *City) leaveOddEntries() error {
+	time.Sleep(c.cfg.Settle) // the instances are in touch from here on
+	const counted = 2 * time.Second
+	calls := c.callsIn(counted)
+	for _, e := range oddEntries(c.Servers()[0]) {
+		c.Store.PutRaw(e.key, e.value)
+	}
+	for _, i := range []*Instance{c.Instances[0], c.Instances[len(c.Instances)-1]} {
+		if err := i.Stop(syscall.SIGTERM); err != nil {
+			return err
+		}
+		c.Store.DropHistory()
+		if err := i.Start(); err != nil {
+			return err
+		}
+		if err := c.waitReady(); err != nil {
+			return err
+		}
+	}
+	for _, e := range oddEntries(c.Servers()[0]) {
+		c.Store.PutRaw(e.key, e.value)
+	}
+	time.Sleep(time.Second)
+	if after := c.callsIn(counted); after > 2*calls {
+		c.violation("%d calls to the store in %s beside odd entries, %d before", after, counted, calls)
+	}
+	for _, e := range oddEntries(c.Servers()[0]) {
+		c.Store.Delete(e.key)
+	}
+	if err := c.Configure(c.Dest(Feed), c.Dest(Upload), c.ExtraDest(1)); err != nil {
+		return err
+	}
+	time.Sleep(c.cfg.ApplyBound)
+	for _, k := range c.callers {
+		f, err := k.open(c.ExtraDest(1))
+		if err != nil {
+			c.violation("the new route is not in force for caller %s: %v", k.addr, err)
+			continue
+		}
+		f.end()
+	}
+	return nil
+}
+
+// callsIn returns the number of calls to the store in a time.
+func (c *City) callsIn(d time.Duration) int {
+	before := c.Store.Calls()
+	time.Sleep(d)
+	return c.Store.Calls() - before
+}
+
+type oddEntry struct {
+	key   string
+	value []byte
+}
+
+// oddEntries returns entries that no server writes, some with the address or the ID of
+// a server.
+func oddEntries(s *Server) []oddEntry {
+	list := []oddEntry{
+		{"op/other", []byte("{}")},
+		{"op/config/other", []byte(strings.Repeat("[", 100_000))},
+		{"servers/", []byte("{}")},
+		{"servers/-" + s.name()[2:], nil},
+		{"servers/j-" + s.name()[2:], []byte("\xff\xfe")},
+		{"servers/no-digits", []byte("{}")},
+		{"servers/i-00000000f0", []byte(strings.Repeat("[", 100_000))},
+		{"servers/i-00000000f1", []byte(strings.Repeat("x", 1<<20))},
+		{"servers/i-00000000f2", []byte("\x00\xff")},
+	}
+	add := func(key, service, addr string, changes ...string) {
+		text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":2,"state":"ready",`+
+			`"cold_remaining_ms":0,"sequence":1,"born":%d,"other":[]}`, service, addr, s.Domain, s.born)
+		list = append(list, oddEntry{"servers/" + key, []byte(strings.NewReplacer(changes...).Replace(text))})
+	}
+	addr := s.Addr.String()
+	free := s.city.ip(250, 1).String()
+	add("-0"+s.name()[2:], "nowhere", free+":8400")
+	add("k-"+s.name()[2:], "nowhere", free+":8400")
+	add("i-00000001f0", "nowhere", addr)
+	add("i-00000001f1", s.Service, addr, `"slots":2`, `"slots":1e400`)
+	add("i-00000001f2", s.Service, free+":8400", `"slots":2`, `"slots":9223372036854775807`)
+	add("i-00000001f3", s.Service, free+":65536")
+	add("i-00000001f4", s.Service, free+":0")
+	add("i-00000001f5", s.Service, free+":99999999999")
+	add("i-00000001f6", s.Service, "224.0.0.1:8400")
+	add("i-00000001f7", s.Service, addr, `"state":"ready"`, `"state":"`+strings.Repeat("x", 1<<16)+`"`)
+	add("i-00000001f8", s.Service, addr, fmt.Sprintf(`"born":%d`, s.born), `"born":1.5`)
+	add("i-00000001f9", s.Service, addr, `"other":[]`, `"other":`+strings.Repeat("[", 100_000)+strings.Repeat("]", 100_000))
+	add("i-0000000000", s.Service, addr)
+	return list
+}
+
 // failServers lets one feed server of each domain fail half of its requests.
 // Once they have shown it, they get less than half of the new flows that the
 // others get.
