Take a server out of use when a partial list ends it

Since an entry of an unnamed service counts as the removal of the server's own, a partial list can remove servers, after which the index was not built again.

Before, TestPartialListEndsServer found servers 1 and 2 in use, of 2 only.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -149,7 +149,7 @@
 			c.putServer(now, ch.Servers[i], &result)
 		}
 	}
-	if len(result.Added)+len(result.Changed) > 0 {
+	if len(result.Added)+len(result.Changed)+len(result.Removed) > 0 {
 		c.rebuildIndex()
 	}
 	return result
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -468,3 +468,14 @@
 	c.Apply(second, second, second, fromStore(&Change{Revision: 13, Removed: []Removal{{ID: 1, Name: "-1", Revision: 13}}}))
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
 }
+
+// Guards against a server that gets new flows although a page that is read again, before
+// the full list, has an entry of an unnamed service under its key.
+func TestPartialListEndsServer(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.AddPartial(second, fromStore(&Change{Config: config(1, "1.1.1.1:80"), Servers: []Server{server(1, 3), server(2, 4)}}))
+	odd := unnamedServer(1, 11, netip.MustParseAddrPort("10.9.9.9:9"))
+	c.AddPartial(second, fromStore(&Change{Servers: []Server{odd, server(2, 4)}}))
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2)))
+}
