Keep the former release's tokens of all starts of a server

At an upgrade, packets of a flow with the token that the former release gave to an earlier start of its server found no server once the server had started again, and the flow was reset.

The tokens of all starts lead to the server until it is dropped from the catalog.

TestTokenOfTheFormerReleaseAndTheFormerStart failed before: it found no server.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -37,7 +38,7 @@
 
 	servers       map[ServerID]*Server // the latest incarnation of each
 	byToken       map[token.Token]*Server
-	byFormerToken map[token.Token]*Server    // by the tokens of the former release
+	byFormerToken map[token.Token]ServerID   // by the tokens of the former release, of all starts
 	byService     map[string][]*Server       // active servers, unordered
 	byAddr        map[netip.AddrPort]*Server // the server whose incarnation was published last with each address
 	generation    uint64
@@ -56,7 +57,7 @@
 		routes:        newRouteTable(),
 		servers:       make(map[ServerID]*Server),
 		byToken:       make(map[token.Token]*Server),
-		byFormerToken: make(map[token.Token]*Server),
+		byFormerToken: make(map[token.Token]ServerID),
 		byService:     make(map[string][]*Server),
 		byAddr:        make(map[netip.AddrPort]*Server),
 		maxReadGap:    defaultMaxReadGap,
@@ -116,7 +117,10 @@
 	if s := c.byToken[t]; s != nil {
 		return s
 	}
-	return c.byFormerToken[t]
+	if id, known := c.byFormerToken[t]; known {
+		return c.servers[id]
+	}
+	return nil
 }
 
 // Latest returns the latest incarnation of the server of s, s itself if the server
@@ -302,7 +306,6 @@
 		return false
 	}
 	delete(c.servers, s.ID)
-	delete(c.byFormerToken, s.formerToken())
 	return true
 }
 
@@ -341,10 +344,7 @@
 	entry.FirstSeen, entry.MissingSince = now, 0
 	entry.published = Position{c.epoch, entry.Revision}
 	c.servers[entry.ID] = &entry
-	if old != nil {
-		delete(c.byFormerToken, old.formerToken())
-	}
-	c.byFormerToken[entry.formerToken()] = &entry
+	c.byFormerToken[entry.formerToken()] = entry.ID
 	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Presence(holder).Ended() {
 		c.byToken[entry.Token] = &entry
 	}
@@ -469,17 +469,21 @@
 		c.graceEnd = 0
 		c.rebuildIndex()
 	}
+	dropped := false
 	for id, s := range c.servers {
 		if s.Published() || now-s.MissingSince < missingRetention {
 			continue
 		}
+		dropped = true
 		delete(c.servers, id)
-		delete(c.byFormerToken, s.formerToken())
 		if c.byToken[s.Token] == s {
 			delete(c.byToken, s.Token)
 		}
 		c.forgottenRevision = max(c.forgottenRevision, s.removedRevision)
 	}
+	if dropped {
+		maps.DeleteFunc(c.byFormerToken, func(_ token.Token, id ServerID) bool { return c.servers[id] == nil })
+	}
 	c.assignFreeTokens()
 }
 
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -188,6 +188,17 @@
 	g.Expect(c.byFormerToken).To(BeEmpty())
 }
 
+// Guards against resets during an upgrade of flows that a restarted server took before its new entry was known, by way of an instance of the former release.
+func TestTokenOfTheFormerReleaseAndTheFormerStart(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, fullChange(10, config(1), server(1, 3)))
+	restarted := server(1, 12)
+	restarted.Started = 9000
+	c.Apply(2*second, 2*second, 2*second, &Change{Revision: 12, Servers: []Server{restarted}})
+	g.Expect(c.ByToken(token.ForIncarnation(1, 1001))).To(BeIdenticalTo(c.ByToken(token.ForServer(1))))
+}
+
 // Guards against new flows to a server that ended without a word while another
 // one already has its address, and against callers that wait for it.
 func TestReusedAddressEndsServer(t *testing.T) {
