Report no failures of a server's former start to neighbours

Since all starts of a server have one token, an instance that still had flows of the former start reported that one's failures under the token of the present one, and the neighbours avoided a server that serves.

States of former starts are left out of the evidence.

TestFailuresOfAFormerStartAreNotReported failed before: one report.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -192,3 +192,19 @@
 	l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
 	l.Expect(l.request(f, 151, 1).Action).To(Equal(Forward), "server %s", l.catalog.Presence(s))
 }
+
+// Guards against neighbours that avoid a restarted server for the failures of its former start, which has the same token.
+func TestFailuresOfAFormerStartAreNotReported(t *testing.T) {
+	l := newFixture(t)
+	s := l.serverByID(1)
+	l.completeHandshake(l.newCaller(), feed, s) // the flow is still known
+	for range 5 {
+		l.engine.state(s).history.Add(l.now, 1)
+	}
+	l.Expect(l.engine.Evidence(l.now, netip.Addr{}, 9)).To(HaveLen(1))
+	restarted := *s
+	restarted.Started, restarted.Revision = 2, 11
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Servers: []catalog.Server{restarted}})
+	l.engine.Tick(l.now)
+	l.Expect(l.engine.Evidence(l.now, netip.Addr{}, 9)).To(BeEmpty())
+}
--- a/core/steer/evidence.go
+++ b/core/steer/evidence.go
@@ -115,6 +115,9 @@
 	}
 	var list []ranked
 	for s, st := range e.states {
+		if e.catalog.Latest(s) != s {
+			continue // it has started again, under the same token
+		}
 		if _, known := st.evidence(now, netip.Addr{}); known >= minEvidence {
 			if requests, failures := st.evidence(now, to); requests >= minRequests {
 				list = append(list, ranked{Evidence{s.Token, requests, failures}, known})
