Drop held SYNs whose callers have gone on elsewhere

A SYN that was held until the first list of servers was placed or refused up to 1.5 s later, although its caller may have opened the flow by way of another instance meanwhile: the copy goes to a second server, or its refusal meets an open flow.

When the next copy of a SYN has not arrived by the time at which it is due, the held ones are dropped with the reason not_repeated.

TestHeldFlowThatMovedIsDropped failed before in both parts, placed and refused.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -89,7 +89,7 @@
 // that has not received one yet, unless the last one has just received it. This is
 // safe since no server has run a request of the flow.
 func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route, service string) Verdict {
-	key := Key{p.Caller, p.Dest}
+	key := p.Key()
 	f := e.flows[key]
 	if f != nil && f.synSeq == p.Seq && f.established {
 		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
@@ -130,7 +130,7 @@
 // deliver forwards a packet of an open flow to the server that its token
 // identifies.
 func (e *Engine) deliver(now time.Duration, p *Packet, route *catalog.Route) Verdict {
-	key := Key{p.Caller, p.Dest}
+	key := p.Key()
 	s := e.catalog.ByToken(p.Token)
 	f := e.flows[key]
 	if f != nil && !f.covers(p.Seq) {
@@ -188,7 +188,7 @@
 	if v.Action == Hold && !p.SYN && e.catalog.Complete() && e.catalog.AbsenceConfirmed(heldAt) {
 		// The store was read since the packet arrived, and has no route to the
 		// address or no server with the token.
-		e.removeFlowByKey(Key{p.Caller, p.Dest})
+		e.removeFlowByKey(p.Key())
 		return Verdict{Action: Reset, Reason: v.Reason}
 	}
 	return v
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -26,6 +26,9 @@
 // Key identifies a flow.
 type Key struct{ Caller, Dest netip.AddrPort }
 
+// Key returns the key of the packet's flow.
+func (p *Packet) Key() Key { return Key{p.Caller, p.Dest} }
+
 // Action is what is done with a packet.
 type Action uint8
 
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -104,19 +104,31 @@
 
 // retryHeld decides again on the held packets after the catalog has changed. Of
 // several copies of a SYN only the first counts: the others would go to further
-// servers.
+// servers. A SYN whose next copy did not come is dropped: its caller may have opened
+// the flow by way of another instance.
 func (i *Instance) retryHeld(now time.Duration) {
 	waiting := i.held.packets
 	i.held.packets = nil
 	i.updateInstances(now)
 	out := make([]byte, 0, readBuffer)
+	lastCopy := make(map[steer.Key]time.Duration) // by which the copy after the last one is due
+	for _, h := range waiting {
+		if h.packet.SYN {
+			lastCopy[h.packet.Key()] = nextCopyBy(h.receivedAt, &h.packet)
+		}
+	}
 	opened := make(map[steer.Key]bool)
 	for _, h := range waiting {
-		key := steer.Key{Caller: h.packet.Caller, Dest: h.packet.Dest}
+		key := h.packet.Key()
 		if h.packet.SYN && opened[key] {
 			continue
 		}
-		v := i.engine.DecideHeld(now, h.receivedAt, &h.packet)
+		var v steer.Verdict
+		if h.packet.SYN && now > lastCopy[key] {
+			v = steer.Verdict{Action: steer.Drop, Reason: steer.NotRepeated}
+		} else {
+			v = i.engine.DecideHeld(now, h.receivedAt, &h.packet)
+		}
 		if v.Action == steer.Hold {
 			i.held.packets = append(i.held.packets, h)
 			continue
--- a/node/edge/waiting.go
+++ b/node/edge/waiting.go
@@ -57,7 +57,7 @@
 
 // isWaiting reports whether a packet is a copy of a SYN that waits for room.
 func (i *Instance) isWaiting(now time.Duration, p *steer.Packet) bool {
-	return p.SYN && i.waiting.Renew(steer.Key{Caller: p.Caller, Dest: p.Dest}, nextCopyBy(now, p))
+	return p.SYN && i.waiting.Renew(p.Key(), nextCopyBy(now, p))
 }
 
 // queueFlow lets a SYN wait until the servers of a service have room. It reports
@@ -77,7 +77,7 @@
 			f.Patience = min(f.Patience, r.Timeout)
 		}
 	}
-	return i.waiting.Add(now, service, steer.Key{Caller: p.Caller, Dest: p.Dest}, nextCopyBy(now, p), f)
+	return i.waiting.Add(now, service, p.Key(), nextCopyBy(now, p), f)
 }
 
 // placeWaiting places flows that wait, as far as there is room. Those that may have
--- a/node/edge/waiting_test.go
+++ b/node/edge/waiting_test.go
@@ -70,3 +70,21 @@
 	i.placeWaiting(700 * time.Millisecond)
 	g.Expect(i.waiting.Len()).To(BeZero())
 }
+
+// Guards against placing or refusing a SYN that was held until the first list, after its caller has gone on at another instance.
+func TestHeldFlowThatMovedIsDropped(t *testing.T) {
+	for name, routes := range map[string]int{"placed": 1, "refused": 0} {
+		t.Run(name, func(t *testing.T) {
+			l := newHarness(t)
+			l.store.state.Config.Routes = l.store.state.Config.Routes[:routes]
+			l.store.setError(errStoreAway)
+			i := l.start(1, l.store)
+			l.sendPacket(1, "SYN")
+			time.Sleep(nextCopyBy(0, &steer.Packet{}) + 2*tickInterval)
+			l.store.setError(nil)
+			l.Eventually(func() int { return l.readyStatus(1) }, "3s").Should(Equal(http.StatusOK))
+			l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
+			l.Expect(i.log.String()).NotTo(ContainSubstring("action=reset"))
+		})
+	}
+}
