Reset no flow for an unknown token in the first minute of an instance

An instance that had just started reset the flows of a running server whose entry was missing when it read its first list (FLOW): the token names no server that it knows, and the store has been healthy for long. Entries of running servers go missing in outages of the store, and stay away while the store does not accept them; instances are restarted as planned meanwhile.

Only an instance that has followed the store for a minute, the longest life of a flow, knows all servers that may have open flows. Until then packets with an unknown token are held and dropped.

TestNewInstanceKnowsServersWithoutEntries failed with a reset before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -33,8 +33,9 @@
 	routes            routeTable
 	epoch             Epoch // of revision
 	revision          Revision
-	loaded            bool     // a full list of servers was applied
-	forgottenRevision Revision // removals up to it are not all known
+	loaded            bool          // a full list of servers was applied
+	loadedAt          time.Duration // when the first one was
+	forgottenRevision Revision      // removals up to it are not all known
 
 	servers       map[ServerID]*Server // the latest incarnation of each
 	byToken       map[token.Token]*Server
@@ -226,7 +227,10 @@
 	}
 	if ch.Full {
 		c.markMissing(now, ch, &result)
-		c.loaded, c.forgottenRevision = true, max(c.forgottenRevision, ch.Revision)
+		if !c.loaded {
+			c.loaded, c.loadedAt = true, now
+		}
+		c.forgottenRevision = max(c.forgottenRevision, ch.Revision)
 	}
 	for i := range ch.Servers {
 		if c.admits(ch, &ch.Servers[i]) {
@@ -461,6 +465,13 @@
 	return c.loaded && c.asOf >= at && c.healthySince > 0 && c.asOf-c.healthySince > goneTimeout
 }
 
+// KnowsAllFlows reports whether the catalog has all servers that may have open flows.
+// It lacks servers whose entries were missing when its first list was made, which may
+// be running.
+func (c *Catalog) KnowsAllFlows(now time.Duration) bool {
+	return c.loaded && now-c.loadedAt >= missingRetention
+}
+
 // Expire deactivates servers that were not published again within the grace
 // period after a store outage, and drops servers whose entries have been missing
 // for longer than missingRetention.
--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -208,3 +208,19 @@
 	l.engine.Tick(l.now)
 	l.Expect(l.engine.Evidence(l.now, netip.Addr{}, 9)).To(BeEmpty())
 }
+
+// Guards against resetting a flow at an instance that has just started, whose server runs without an entry: the store does not take it, or another writer has overwritten it.
+func TestNewInstanceKnowsServersWithoutEntries(t *testing.T) {
+	l := newFixture(t)
+	s := l.loseEntry(1)
+	f := l.openFlowTo(s)
+	age, healthy := l.catalog.Age(l.now)
+	fresh := catalog.New()
+	fresh.Apply(l.now, l.now-age, l.now-age-healthy, l.catalog.Since(l.now, catalog.Position{}, 0, false))
+	l.engine, l.catalog = New(Config{Domain: "a", Seed: 2}, fresh), fresh
+	p := &Packet{Caller: f.Caller, Dest: f.Dest, ACK: true, Seq: 101, Ack: 1, Len: 50, Token: f.Token}
+	heldAt := l.now
+	l.now += 100 * time.Millisecond
+	l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
+	l.Expect(l.engine.DecideHeld(l.now, heldAt, p).Action).NotTo(Equal(Reset))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -185,13 +185,16 @@
 // heldAt is the time at which the packet arrived.
 func (e *Engine) DecideHeld(now, heldAt time.Duration, p *Packet) Verdict {
 	v := e.Decide(now, p)
-	if v.Action == Hold && !p.SYN && e.catalog.Complete() && e.catalog.AbsenceConfirmed(heldAt) {
-		// The store was read since the packet arrived, and has no route to the
-		// address or no server with the token.
-		e.removeFlowByKey(p.Key())
-		return Verdict{Action: Reset, Reason: v.Reason}
+	if v.Action != Hold || p.SYN || !e.catalog.Complete() || !e.catalog.AbsenceConfirmed(heldAt) {
+		return v
+	}
+	// The store was read since the packet arrived, and has no route to the address or
+	// no server with the token.
+	if v.Reason == UnknownToken && !e.catalog.KnowsAllFlows(now) {
+		return v
 	}
-	return v
+	e.removeFlowByKey(p.Key())
+	return Verdict{Action: Reset, Reason: v.Reason}
 }
 
 // HoldTimeoutVerdict returns the verdict on a packet that was held for the
