Give a shared token to the server that started first, at every instance

The one that an instance saw first got the token: an instance that had started later could choose the other one and sent the packets of open flows there (FLOW).

The server that started first gets the token, whatever the order in which an instance learns of the two; one that has ended loses it to the other.

TestCollidingTokensNameTheSameServerEverywhere failed before: servers differ.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -349,12 +349,25 @@
 	entry.published = Position{c.epoch, entry.Revision}
 	c.servers[entry.ID] = &entry
 	c.byFormerToken[entry.formerToken()] = entry.ID
-	if holder := c.byToken[entry.Token]; holder == nil || holder.ID == entry.ID || c.Presence(holder).Ended() {
+	if c.getsToken(&entry) {
 		c.byToken[entry.Token] = &entry
 	}
 	result.Added = append(result.Added, &entry)
 }
 
+// getsToken reports whether a server gets its token. Of several with the same token the
+// one that started first does, so that all instances deliver its flows.
+func (c *Catalog) getsToken(s *Server) bool {
+	holder := c.byToken[s.Token]
+	switch {
+	case holder == nil || holder.ID == s.ID:
+		return true
+	case c.Presence(s).Ended() != c.Presence(holder).Ended():
+		return c.Presence(holder).Ended()
+	}
+	return s.Started < holder.Started || s.Started == holder.Started && s.ID < holder.ID
+}
+
 // keepKnown records that a restored store lists a server with an entry that is no newer
 // than what is known. A server that had left stays missing: its entry expires again.
 func (c *Catalog) keepKnown(s *Server, rev Revision, result *ApplyResult) {
@@ -503,7 +516,7 @@
 func (c *Catalog) assignFreeTokens() {
 	assigned := false
 	for _, s := range c.servers {
-		if c.byToken[s.Token] == nil {
+		if c.byToken[s.Token] != s && c.getsToken(s) {
 			c.byToken[s.Token] = s
 			assigned = true
 		}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -253,6 +253,18 @@
 	g.Expect(c.ServersOf("feed")[0].ID).To(Equal(b))
 }
 
+// Guards against instances that give a token that two servers share to different ones, by which of them they saw first.
+func TestCollidingTokensNameTheSameServerEverywhere(t *testing.T) {
+	g := NewWithT(t)
+	a, b := collidingIDs(t)
+	running, started := New(), New()
+	running.Apply(second, second, second, fullChange(10, config(1), server(b, 3)))
+	running.Apply(second, second, second, &Change{Revision: 11, Servers: []Server{server(a, 11)}})
+	started.Apply(2*second, 2*second, 2*second, fullChange(11, config(1), server(a, 11), server(b, 3)))
+	tok := token.ForServer(uint64(a))
+	g.Expect(started.ByToken(tok).ID).To(Equal(running.ByToken(tok).ID))
+}
+
 // Guards against refusing open flows of a route whose targets changed, and
 // against accepting services that the route never had.
 func TestFormerServicesOfARoute(t *testing.T) {
