Let the stand-in's store return from an older copy and entries lapse

The users' drills let the store return from a copy some seconds old. The stand-in could play neither that nor an outage in which entries lapse: servers wrote their entry once.

City.RestoreStore takes the store away and brings it back from a copy; ConfigureAgain writes what the operator had written.

One writes the entry again with the present state if the store has none or another; one that differs in nothing but its sequence gives no revision. A server that ended does nothing more to the store: before, one that had crashed removed its entry when its planned end came, and one that drained within a second of its restart was written as ready again.

Checks: the bound of a removed route counts from when the store accepted it (before, from just before the call), that of a leaving server too (before, from just after). If a restore takes the acknowledgement back, the bound counts from when it is written again; the two lines that do so say it.

--- a/testkit/edge/check.go
+++ b/testkit/edge/check.go
@@ -50,8 +50,8 @@
 	case !c.inTouch(from, now):
 	case !h.removed.IsZero() && now.Sub(h.removed) > c.cfg.ApplyBound:
 		c.violationLocked("%s placed a flow on a route that went %s ago", from, now.Sub(h.removed))
-	case !s.draining.IsZero() && now.Sub(s.draining) > c.cfg.DrainBound:
-		c.violationLocked("%s placed a flow on a server that has been leaving for %s", from, now.Sub(s.draining))
+	case !s.reported.IsZero() && now.Sub(s.reported) > c.cfg.DrainBound:
+		c.violationLocked("%s placed a flow on a server that has been leaving for %s", from, now.Sub(s.reported))
 	}
 }
 
--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -61,6 +64,8 @@
 	freeAddrs  []netip.AddrPort // of servers that ended
 	routes     map[netip.AddrPort]*routeHistory
 	version    int
+	newest     []byte                  // the newest configuration
+	listed     map[netip.AddrPort]bool // addresses with a route in it
 	runs       map[uint64]int
 	violations []string
 	storeSick  time.Time // end of the last trouble with the store
@@ -195,39 +200,73 @@
 
 // ExtraDest returns an address of a further route to the feed service.
 func (c *City) ExtraDest(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(n)}), 80)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + n>>8), byte(n)}), 80)
 }
 
-// Configure writes a new configuration with routes for the given addresses;
-// extra ones lead to the feed service.
+// Configure writes a new configuration with routes for the given addresses, once
+// the store can be reached; extra ones lead to the feed service.
 func (c *City) Configure(dests ...netip.AddrPort) error {
+	c.Store.WaitReachable()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.version += 3
-	now := time.Now()
-	kept := make(map[netip.AddrPort]bool)
+	c.listed = make(map[netip.AddrPort]bool)
 	var routes []map[string]any
 	for n, d := range dests {
 		service := Feed
 		if d == c.Dest(Upload) {
 			service = Upload
 		}
-		kept[d] = true
+		c.listed[d] = true
 		c.routes[d] = &routeHistory{service: service}
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprint("r", n), "host": d.Addr().String(), "prefix": fmt.Sprint("/", d.Port(), "/"),
 			"type": "safe", "timeout_ms": 1200, "target_latency_ms": 150, "priority": 1, "service": service, "max_attempts": 2,
 		})
 	}
+	cfg, err := json.Marshal(map[string]any{
+		"version": c.version, "routes": routes, "services": []any{}, "limits": map[string]int{"idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		return err
+	}
+	c.newest = cfg
+	c.writeConfig()
+	return nil
+}
+
+// ConfigureAgain writes the newest configuration, once the store can be reached,
+// if the store has another.
+func (c *City) ConfigureAgain() {
+	c.Store.WaitReachable()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !bytes.Equal(c.Store.value("op/config"), c.newest) {
+		c.writeConfig()
+	}
+}
+
+// writeConfig writes the newest configuration.
+func (c *City) writeConfig() {
+	at := c.Store.PutRaw("op/config", c.newest)
 	for d, h := range c.routes {
-		if !kept[d] && h.removed.IsZero() {
-			h.removed = now
+		switch {
+		case c.listed[d]:
+		case h.removed.IsZero(), c.Store.lost(h.removed): // a lost removal counts from when it is written again
+			h.removed = at
 		}
 	}
-	version := c.version
-	c.mu.Unlock()
-	return c.Store.Put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": []any{}, "limits": map[string]int{"idle_timeout_ms": 15000},
-	})
+}
+
+// RestoreStore takes the store away for a while, from which it returns from a copy
+// of an age. The operator then has to configure again.
+func (c *City) RestoreStore(f Fault, away, age time.Duration) {
+	c.StoreTrouble(away)
+	f.Away = true
+	end := c.Store.Begin(f)
+	time.Sleep(away)
+	c.Store.Restore(age)
+	end()
 }
 
 // AddServer starts a server, at the address of one that ended if there is any.
@@ -245,7 +284,9 @@
 		return nil, err
 	}
 	c.addLive(s)
-	return s, s.enter("ready")
+	_, err = s.beat()
+	go s.heartbeats(rand.N(checkIn))
+	return s, err
 }
 
 func (c *City) addLive(s *Server) {
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -38,7 +39,9 @@
 
 	mu       sync.Mutex
 	flows    map[flowKey]*serverFlow
-	draining time.Time // when the store had its report, zero before
+	draining bool
+	reported time.Time // when the store had its report that it is draining, zero before
+	sequence int       // of heartbeats
 	dead     bool
 	ailment  Ailment
 	opened   int // flows that opened here since Ail
@@ -91,7 +94,7 @@
 // name is the key of the server's entry.
 func (s *Server) name() string { return fmt.Sprintf("i-%010x", s.ID) }
 
-// startServer starts a server at an address. The caller enters it in the store.
+// startServer starts a server at an address. The caller lets it send heartbeats.
 func (c *City) startServer(id uint64, service, domain string, addr netip.AddrPort) (*Server, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
@@ -106,60 +109,122 @@
 	return s, nil
 }
 
-func (s *Server) enter(state string) error {
-	return s.city.Store.Put("servers/"+s.name(), map[string]any{
+// heartbeats keeps the server's entry in the store from a time on, until it ends.
+func (s *Server) heartbeats(after time.Duration) {
+	time.Sleep(after)
+	for {
+		alive, err := s.beat()
+		if err != nil {
+			s.city.violation("the entry of server %x was not written: %v", s.ID, err)
+		}
+		if !alive {
+			return
+		}
+		time.Sleep(checkIn)
+	}
+}
+
+// beat sends a heartbeat with the present state. It reports false if the server has
+// ended.
+func (s *Server) beat() (alive bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead {
+		return false, nil
+	}
+	s.sequence++
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	entry, err := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.Addr.String(), "zone": s.Domain, "version": "v1", "slots": 2,
-		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
+		"state": state, "cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
 	})
+	if err != nil {
+		return true, err
+	}
+	written, ok := s.city.Store.Heartbeat("servers/"+s.name(), entry)
+	switch {
+	case !ok || !s.draining || written.IsZero():
+	case s.reported.IsZero(), s.city.Store.lost(s.reported): // a lost report counts from when it is written again
+		s.reported = written
+	}
+	return true, nil
 }
 
-// Drain reports that the server leaves; it goes on serving.
+// Drain lets the server leave; it reports so and goes on serving.
 func (s *Server) Drain() error {
-	if err := s.enter("draining"); err != nil {
-		return err
-	}
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	_, err := s.beat()
+	return err
+}
+
+// Draining reports whether the server leaves.
+func (s *Server) Draining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = time.Now()
-	return nil
+	return s.draining
+}
+
+// WaitReported waits until the store has had the report that the server is
+// draining, or the server has ended.
+func (s *Server) WaitReported() {
+	for {
+		s.mu.Lock()
+		over := s.dead || !s.reported.IsZero()
+		s.mu.Unlock()
+		if over {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
 }
 
 // Crash ends the server without a word. Its entry lapses later.
 func (s *Server) Crash() {
-	s.stop()
-	time.AfterFunc(lapseAfter, func() { s.city.Store.Delete("servers/" + s.name()) })
+	if s.stop() {
+		s.city.Store.Touch("servers/" + s.name())
+	}
 }
 
 // Restart ends the server without a word and starts it again under its ID, at its
 // address. Until the entry of the new start is written, after a delay, the store has
 // that of the former one.
 func (s *Server) Restart(entryAfter time.Duration) (*Server, error) {
-	s.stop()
+	if !s.stop() {
+		return nil, trace.NotFound("server %x has ended and cannot restart", s.ID)
+	}
 	next, err := s.city.startServer(s.ID, s.Service, s.Domain, s.Addr)
 	if err != nil {
 		return nil, err
 	}
 	s.city.addLive(next)
-	time.AfterFunc(entryAfter, func() {
-		if err := next.enter("ready"); err != nil {
-			s.city.violation("the entry of server %x was not written: %v", next.ID, err)
-		}
-	})
+	go next.heartbeats(entryAfter)
 	return next, nil
 }
 
-// Leave ends a drained server and removes its entry.
+// Leave ends a drained server and removes its entry, which lapses if the store is
+// away.
 func (s *Server) Leave() {
-	s.stop()
-	s.city.Store.Delete("servers/" + s.name())
+	if s.stop() {
+		s.city.Store.Delete("servers/" + s.name())
+	}
 }
 
-func (s *Server) stop() {
+// stop ends the server. It reports false if it had ended before.
+func (s *Server) stop() bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead {
+		return false
+	}
 	s.dead = true
 	clear(s.flows)
-	s.mu.Unlock()
 	s.conn.Close()
+	return true
 }
 
 // holds reports whether the server lives and has the flow open.
@@ -268,7 +333,7 @@
 	}
 	f.write(message(id, size))
 	s.flush(k, f, time.Now())
-	if !s.draining.IsZero() {
+	if s.draining {
 		// A leaving server closes each flow after its next answer.
 		s.send(k, f, packet{flags: fin | ack, seq: f.next, ack: f.want})
 	}
--- /dev/null
+++ b/testkit/edge/server_test.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// Second bytes of the addresses of cities without instances.
+const (
+	firstNet = 40
+	lastNet  = 79
+)
+
+// emptyCity returns a city without instances and callers, at addresses that no test
+// of another working copy uses at the same time.
+func emptyCity(t *testing.T) *City {
+	t.Helper()
+	cfg := DefaultConfig()
+	cfg.Instances, cfg.Callers = 0, 0
+	var err error
+	for cfg.Net = firstNet; cfg.Net <= lastNet; cfg.Net++ {
+		var c *City
+		if c, err = New(cfg); err == nil {
+			t.Cleanup(func() {
+				c.Close()
+				for _, v := range c.Violations() {
+					t.Error(v)
+				}
+			})
+			return c
+		}
+	}
+	t.Fatal(err)
+	return nil
+}
+
+// entryOf returns the state in the entry of a server, "" without one, and its start.
+func entryOf(t *testing.T, s *Server) (state string, born int64) {
+	t.Helper()
+	value := s.city.Store.value("servers/" + s.name())
+	if value == nil {
+		return "", 0
+	}
+	var e struct {
+		State string `json:"state"`
+		Born  int64  `json:"born"`
+	}
+	if err := json.Unmarshal(value, &e); err != nil {
+		t.Fatal(err)
+	}
+	return e.State, e.Born
+}
+
+func states(t *testing.T, c *City) map[string]int {
+	n := make(map[string]int)
+	for _, s := range c.Servers() {
+		state, _ := entryOf(t, s)
+		n[state]++
+	}
+	return n
+}
+
+// Guards against entries that stay while servers cannot reach the store, or that
+// are missing for longer than a heartbeat afterwards, and against heartbeats that
+// change the store without need.
+func TestServersWriteLapsedEntriesAgain(t *testing.T) {
+	t.Parallel()
+	c := emptyCity(t)
+	all := len(c.Servers())
+	before := ask(t, c.Store, "kv-range?prefix=op")
+	time.Sleep(2 * checkIn)
+	expect(t, "revision after heartbeats", ask(t, c.Store, "kv-range?prefix=op"), before)
+	end := c.Store.Begin(Fault{Status: 503, Away: true})
+	leaving := c.Servers()[0]
+	if err := leaving.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lapseAfter + 500*time.Millisecond)
+	expect(t, "without an entry", states(t, c)[""], all)
+	expect(t, "has its report accepted", !leaving.reportTime().IsZero(), false)
+	end()
+	time.Sleep(checkIn + 500*time.Millisecond)
+	expect(t, "ready", states(t, c)["ready"], all-1)
+	expect(t, "draining", states(t, c)["draining"], 1)
+	expect(t, "has its report accepted", !leaving.reportTime().IsZero(), true)
+}
+
+// Guards against servers that do not write again what a restore lost, and against
+// bounds that count from an acknowledgement that was lost, or that do not from one
+// that was kept.
+func TestServersWriteLostEntriesAgain(t *testing.T) {
+	t.Parallel()
+	c := emptyCity(t)
+	servers := c.Servers()
+	kept, lost, ended, restarted := servers[0], servers[1], servers[2], servers[3]
+	drain := func(s *Server) time.Time {
+		if err := s.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		return s.reportTime()
+	}
+	if err := c.Configure(c.Dest(Feed), c.ExtraDest(0), c.ExtraDest(1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Configure(c.Dest(Feed), c.ExtraDest(1)); err != nil {
+		t.Fatal(err)
+	}
+	keptAt, routeKeptAt := drain(kept), c.removedAt(c.ExtraDest(0))
+	time.Sleep(200 * time.Millisecond)
+	copied := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	drain(lost)
+	ended.Leave()
+	if err := c.Configure(c.Dest(Feed)); err != nil {
+		t.Fatal(err)
+	}
+	next, err := restarted.Restart(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	c.RestoreStore(Fault{Status: 503}, 100*time.Millisecond, time.Since(copied)+100*time.Millisecond)
+	back := time.Now()
+	state, _ := entryOf(t, ended)
+	expect(t, "entry of the server that left", state, "ready")
+	time.Sleep(checkIn + 500*time.Millisecond)
+	for s, want := range map[*Server]string{kept: "draining", lost: "draining", next: "ready"} {
+		state, born := entryOf(t, s)
+		expect(t, "state of "+s.name(), state, want)
+		expect(t, "start of "+s.name(), born, s.born)
+	}
+	expect(t, "time of the kept report", kept.reportTime(), keptAt)
+	expect(t, "the lost report counts from after the restore", lost.reportTime().After(back), true)
+	c.ConfigureAgain()
+	expect(t, "time of the kept removal", c.removedAt(c.ExtraDest(0)), routeKeptAt)
+	expect(t, "the lost removal counts from after the restore", c.removedAt(c.ExtraDest(1)).After(back), true)
+	time.Sleep(lapseAfter - checkIn)
+	state, _ = entryOf(t, ended)
+	expect(t, "entry of the server that left, after three heartbeats", state, "")
+}
+
+func (s *Server) reportTime() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reported
+}
+
+func (c *City) removedAt(dest netip.AddrPort) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.routes[dest].removed
+}
