Play a restore of the store between changes of configurations and servers

The script restored-store adds routes in two configurations and drops one in a third, lets the store return from a copy from before them, and changes the configuration and a server again once operator and servers have written what was lost. Callers use the added and dropped routes after the bound, at which flows to added ones have to open. In restored-store-drain two servers begin to leave a second before the restore.

--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -33,6 +35,8 @@
 		{"failing-servers", "steady", 12 * time.Second, 0.1, (*City).failServers},
 		{"odd-entries", "steady", 16 * time.Second, 0, (*City).leaveOddEntries},
 		{"restart-servers", "steady", 12 * time.Second, 0.1, (*City).restartServers},
+		{"restored-store", "steady", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(0) }},
+		{"restored-store-drain", "mod", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(2) }},
 	}
 }
 
@@ -252,6 +256,74 @@
 	return list
 }
 
+// restoreOlderCopy lets the store return from a copy that lacks the last three
+// configurations and the reports of servers that began to leave a second before. The
+// operator and the servers write again what was lost, then come further changes.
+// After the bounds callers use the routes that were added and dropped, before the
+// restore and after it.
+func (c *City) restoreOlderCopy(leaving int) error {
+	time.Sleep(c.cfg.Settle) // the instances are in touch from here on
+	copied := time.Now()
+	for _, extra := range [][]int{{1}, {1, 2, 3}, {2, 3}} {
+		time.Sleep(300 * time.Millisecond)
+		if err := c.configureExtra(extra...); err != nil {
+			return err
+		}
+	}
+	servers := c.Servers()
+	for _, s := range servers[1:][:leaving] {
+		if err := s.Drain(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	const away = 300 * time.Millisecond
+	c.RestoreStore(Fault{Status: http.StatusServiceUnavailable}, away, time.Since(copied)+away)
+	time.Sleep(1500 * time.Millisecond)
+	c.ConfigureAgain()
+	time.Sleep(500 * time.Millisecond)
+	if err := c.configureExtra(3, 4); err != nil {
+		return err
+	}
+	if err := servers[0].Drain(); err != nil {
+		return err
+	}
+	time.Sleep(max(c.cfg.ApplyBound, c.cfg.DrainBound) + 200*time.Millisecond)
+	var wg sync.WaitGroup
+	for _, k := range c.callers {
+		wg.Go(func() { k.useAfterBound([]int{3, 4}, []int{1, 2}) })
+	}
+	wg.Wait()
+	return nil
+}
+
+// configureExtra writes a configuration with some further routes.
+func (c *City) configureExtra(extra ...int) error {
+	dests := []netip.AddrPort{c.Dest(Feed), c.Dest(Upload)}
+	for _, n := range extra {
+		dests = append(dests, c.ExtraDest(n))
+	}
+	return c.Configure(dests...)
+}
+
+// useAfterBound opens flows on further routes that were added and dropped longer
+// ago than the bound. Those on dropped ones are judged by the servers.
+func (k *Caller) useAfterBound(added, dropped []int) {
+	for _, n := range added {
+		f, err := k.open(k.city.ExtraDest(n))
+		if err != nil {
+			k.city.violation("caller %s opened no flow to %s after the bound: %v", k.addr, k.city.ExtraDest(n), err)
+			continue
+		}
+		f.end()
+	}
+	for _, n := range dropped {
+		if f, err := k.open(k.city.ExtraDest(n)); err == nil {
+			f.end()
+		}
+	}
+}
+
 // failServers lets one feed server of each domain fail half of its requests.
 // Once they have shown it, they get less than half of the new flows that the
 // others get.
