Draw restores of the store in the soak

Half of the runs have a third series: up to twelve configurations and the replacement of a server, then the store is away for up to 2 s and returns from a copy up to 10 s old; the operator writes its configuration again within 2 s, and another change and replacement follow.

--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -54,6 +54,7 @@
 
 // record is what the series of a run share.
 type record struct {
+	began  time.Time
 	faults []func(*soak) error
 	mu     sync.Mutex
 	events []Event
@@ -78,8 +79,11 @@
 		defer close(loaded)
 		counts = c.Load(ctx)
 	}()
-	rec := record{faults: drawFaults(rnd)}
+	rec := record{began: time.Now(), faults: drawFaults(rnd)}
 	series := []func(*soak, context.Context) error{(*soak).disturb, (*soak).disturb}
+	if rnd.IntN(2) == 0 {
+		series = append(series, (*soak).restoreStores)
+	}
 	errs := make([]error, len(series))
 	for n, play := range series {
 		s := &soak{c, rand.New(rand.NewPCG(seed, uint64(2+n))), &rec}
@@ -251,6 +255,41 @@
 	return nil
 }
 
+// restoreStores lets the store return from older copies until ctx is done.
+func (s *soak) restoreStores(ctx context.Context) error {
+	for next := s.between(1000, 6000); ; next = s.between(9000, 14000) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(next):
+		}
+		if err := s.restoreStore(); err != nil {
+			return err
+		}
+	}
+}
+
+// restoreStore changes the configuration and replaces a server, and lets the store
+// return from a copy that is some seconds old. The operator writes its configuration
+// again a while later, and there are further such changes.
+func (s *soak) restoreStore() error {
+	if err := errors.Join(s.replaceServer(), s.drawChange(fewDests, 3+s.rnd.IntN(10))()); err != nil {
+		return err
+	}
+	time.Sleep(s.between(0, 1000))
+	f, away, age, again := s.away(), s.between(100, 2000), s.between(500, 10000), s.between(0, 2000)
+	change, replace := s.drawChange(fewDests, 1), s.drawReplacement()
+	age = min(age, time.Since(s.began)+away) // the first configuration and the servers are in each copy
+	s.event(away, "store returns from a copy %s old", age.Round(time.Millisecond))
+	s.later(0, func() error {
+		s.c.RestoreStore(f, away, age)
+		time.Sleep(again)
+		s.c.ConfigureAgain()
+		return errors.Join(replace(), change())
+	})
+	return nil
+}
+
 func (s *soak) away() Fault {
 	return []Fault{{Status: 503, Away: true}, {Silent: true, Away: true}}[s.rnd.IntN(2)]
 }
