Keep servers active until the store has been well for long enough

A store that returned for less than 2.5 s and went away again left new flows to few servers until it was back: the entries of the others had expired, they could not publish themselves in time, and the grace for them ended by the clock.

A server whose entry was missing after an outage stays active until it counts as gone, which takes 2.5 s of a store that is known to be well.

TestUnlistedServersStayActiveInTheNextOutage failed before: server 2 only. Test changed: TestUnlistedServersExpireAfterOutage confirms the store during the 2.5 s after which it demands the end, since that end no longer comes by the clock.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -47,9 +47,6 @@
 	asOf         time.Duration // time at which the store was not ahead of revision
 	healthySince time.Duration // start of the current healthy period, 0 before the first
 	maxReadGap   time.Duration // maximum time between two reads of a healthy period
-	// graceEnd is the time until which servers stay active whose entries went
-	// missing at the start of the healthy period, 0 if there are none.
-	graceEnd time.Duration
 }
 
 // New returns an empty catalog.
@@ -246,9 +243,7 @@
 	c.recordHealthy(healthySince, at)
 	for _, s := range result.Removed {
 		s.left = s.Draining && c.asOf-c.healthySince > entryLifetime
-	}
-	if wasLoaded && len(result.Removed) > 0 && now < c.healthySince+goneTimeout {
-		c.graceEnd = c.healthySince + goneTimeout
+		s.expired = wasLoaded && !s.Draining && now < c.healthySince+goneTimeout
 	}
 	if len(result.Added)+len(result.Removed)+len(result.Changed) > 0 {
 		c.rebuildIndex()
@@ -340,7 +335,7 @@
 		// Open flows refer to this record, so it is updated in place.
 		old.Name, old.Service, old.Domain, old.Addr, old.Slots = entry.Name, entry.Service, entry.Domain, entry.Addr, entry.Slots
 		old.Draining, old.Sequence, old.Revision, old.MissingSince = entry.Draining, entry.Sequence, entry.Revision, 0
-		old.left, old.addressTaken = false, false
+		old.left, old.expired, old.addressTaken = false, false, false
 		result.Changed = append(result.Changed, old)
 		return
 	}
@@ -382,17 +377,10 @@
 // this catalog. Unlike Version and Revision it is local to the instance.
 func (c *Catalog) ChangeCount() uint64 { return c.generation }
 
-// inGracePeriod reports whether the server's entry was found missing when the
-// store returned from an outage: the entry expired meanwhile, and the server may
-// still be running. Servers that were draining are excluded.
-func (c *Catalog) inGracePeriod(s *Server) bool {
-	return c.graceEnd > 0 && s.MissingSince >= c.healthySince && !s.Draining
-}
-
 // Active reports whether the server may receive new flows, unless it is
 // draining.
 func (c *Catalog) Active(s *Server) bool {
-	return c.servers[s.ID] == s && !s.addressTaken && (s.Published() || c.inGracePeriod(s))
+	return c.servers[s.ID] == s && !s.addressTaken && (s.Published() || s.expired && c.Presence(s) == Unlisted)
 }
 
 // rebuildIndex rebuilds the lists of active servers by service.
@@ -489,12 +477,11 @@
 // period after a store outage, and drops servers whose entries have been missing
 // for longer than missingRetention.
 func (c *Catalog) Expire(now time.Duration) {
-	if c.graceEnd > 0 && now >= c.graceEnd {
-		c.graceEnd = 0
-		c.rebuildIndex()
-	}
-	dropped := false
+	dropped, inactive := false, false
 	for id, s := range c.servers {
+		if s.expired && c.Presence(s) >= Gone {
+			s.expired, inactive = false, true
+		}
 		if s.Published() || now-s.MissingSince < missingRetention {
 			continue
 		}
@@ -505,6 +492,9 @@
 		}
 		c.forgottenRevision = max(c.forgottenRevision, s.removedRevision)
 	}
+	if inactive {
+		c.rebuildIndex()
+	}
 	if dropped {
 		maps.DeleteFunc(c.byFormerToken, func(_ token.Token, id ServerID) bool { return c.servers[id] == nil })
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -143,10 +143,30 @@
 	returned := 20 * second
 	c.Apply(returned, returned, returned, fullChange(12, nil, server(2, 4)))
 	g.Expect(c.ServersOf("feed")).To(HaveLen(2))
+	c.Confirm(returned+second, Position{Revision: 12})
+	c.Confirm(returned+goneTimeout+1, Position{Revision: 12})
 	c.Expire(returned + goneTimeout + 1)
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2)))
 }
 
+// Guards against too few servers after a store that returned too briefly for them to publish themselves.
+func TestUnlistedServersStayActiveInTheNextOutage(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, fullChange(10, config(1, "1.1.1.1:80"), server(1, 3), server(2, 4)))
+	c.Apply(20*second, 20*second, 20*second, fullChange(12, nil, server(2, 4)))
+	c.Confirm(20*second+second/2, Position{Revision: 12})
+	for at := 21 * second; at < 30*second; at += second / 10 {
+		c.Expire(at)
+	}
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(1), ServerID(2)))
+	for at := 30 * second; at <= 33*second; at += second / 2 {
+		c.Confirm(at, Position{Revision: 12})
+		c.Expire(at)
+	}
+	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2)))
+}
+
 func serverIDs(servers []*Server) (ids []ServerID) {
 	for _, s := range servers {
 		ids = append(ids, s.ID)
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -67,6 +67,9 @@
 	// left is set if the server was draining when its entry was removed from a
 	// healthy store.
 	left bool
+	// expired is set if the entry was missing when the store returned from an outage: it
+	// may have expired meanwhile, and the server stays active until it is Gone.
+	expired bool
 	// addressTaken is set if another server has taken the address, which this server
 	// has therefore lost.
 	addressTaken bool
