Order the writes of a server by its start and their sequence

After a restore of the store a draining server could get new flows again: its report had the sequence of the known entry; an earlier write of it was done late, or again; or the first list was read twice. A server that started again with a clock that is behind could stay out of use, or at its former address, until it changed its entry.

The comparison with what is known covered only the first entry of a server in an epoch, and took a lower start time for an earlier start. Now a lower sequence of the same start never counts; the first list of an epoch is the only one that may show earlier starts, those that this instance has seen before or with a lower start time.

TestDrainingOfAnEqualSequenceCounts, TestEarlierWritesDoneAgainEndNoDrain, TestStartWithAnEarlierClockAfterARestoreCounts, TestStartWithAnEarlierClockAfterADrainIsInUse and TestRestoreKeepsAStartWithAnEarlierClock failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"egrettack.example/core/token"
@@ -21,6 +22,9 @@
 	// packets of its flows are still delivered or refused. It is the maximum
 	// lifetime of a flow.
 	missingRetention = 60 * time.Second
+	// maxFormerStarts limits the former starts of a server that are kept, to recognize
+	// them in an older copy of the store.
+	maxFormerStarts = 4
 	// defaultMaxReadGap is the maximum time between two successful reads of one
 	// healthy period, unless SetMaxStoreReadInterval sets another.
 	defaultMaxReadGap = 2 * time.Second
@@ -47,6 +51,9 @@
 	asOf         time.Duration // time at which the store was not ahead of revision
 	healthySince time.Duration // start of the current healthy period, 0 before the first
 	maxReadGap   time.Duration // maximum time between two reads of a healthy period
+	// restoring is set while the first list of a later epoch is applied. It shows
+	// states from before those that are known.
+	restoring bool
 }
 
 // New returns an empty catalog.
@@ -221,6 +228,7 @@
 	wasLoaded := c.loaded
 	if ch.Epoch > c.epoch {
 		c.beginEpoch(ch.Epoch)
+		defer c.endRestoring()
 	}
 	if ch.Full {
 		c.markMissing(now, ch, &result)
@@ -256,12 +264,15 @@
 // it is written again: the list shows older states of servers that have begun to
 // leave, and lacks servers that started since.
 func (c *Catalog) beginEpoch(e Epoch) {
+	c.restoring = c.loaded
 	c.epoch, c.revision, c.forgottenRevision, c.healthySince = e, 0, 0, 0
 	for _, s := range c.servers {
-		s.Revision, s.removedRevision, s.restored = 0, 0, c.loaded
+		s.Revision, s.removedRevision = 0, 0
 	}
 }
 
+func (c *Catalog) endRestoring() { c.restoring = false }
+
 // ApplyResult lists what a change modified.
 type ApplyResult struct {
 	ConfigChanged           bool // the configuration was replaced
@@ -317,12 +328,9 @@
 	if old != nil && entry.Revision == old.Revision && old.Published() {
 		return
 	}
-	if old != nil && old.restored {
-		old.restored = false
-		if old.knownBefore(&entry) {
-			c.keepKnown(old, entry.Revision, result)
-			return
-		}
+	if old != nil && c.isKnown(old, &entry) {
+		c.keepKnown(old, entry.Revision, result)
+		return
 	}
 	if old != nil && old.Started == entry.Started {
 		if c.named(old) && !c.named(&entry) {
@@ -342,6 +350,10 @@
 	entry.Token = token.ForServer(uint64(entry.ID))
 	entry.FirstSeen, entry.MissingSince = now, 0
 	entry.published = Position{c.epoch, entry.Revision}
+	if old != nil {
+		entry.formerStarts = append(slices.Clone(old.formerStarts), old.Started)
+		entry.formerStarts = entry.formerStarts[max(0, len(entry.formerStarts)-maxFormerStarts):]
+	}
 	c.servers[entry.ID] = &entry
 	c.byFormerToken[entry.formerToken()] = entry.ID
 	if c.getsToken(&entry) {
@@ -363,8 +375,22 @@
 	return s.Started < holder.Started || s.Started == holder.Started && s.ID < holder.ID
 }
 
-// keepKnown records that a restored store lists a server with an entry that is no newer
-// than what is known. A server that had left stays missing: its entry expires again.
+// isKnown reports whether an entry is of an earlier write of a server than the last
+// known one.
+func (c *Catalog) isKnown(s, entry *Server) bool {
+	switch {
+	case entry.Started != s.Started:
+		return c.restoring && (entry.Started < s.Started || slices.Contains(s.formerStarts, entry.Started))
+	case entry.Sequence == 0:
+		return false // a peer of the former release does not tell
+	case c.restoring && entry.Sequence == s.Sequence:
+		return s.Draining || !entry.Draining
+	}
+	return entry.Sequence < s.Sequence // it was done late
+}
+
+// keepKnown records that the store lists a server with an earlier entry than the last
+// known one. A server that had left stays missing: its entry expires again.
 func (c *Catalog) keepKnown(s *Server, rev Revision, result *ApplyResult) {
 	s.Revision = rev
 	if !s.Published() && !s.Draining {
--- a/core/catalog/model_test.go
+++ b/core/catalog/model_test.go
@@ -151,7 +151,7 @@
 			t.Fatalf("%s at revision %d lacks server %d of revision %d", name, c.Revision(), id, e.revision)
 		case e.entry != nil && have.Published() && have.Revision < e.revision:
 			t.Fatalf("%s at revision %d has revision %d of server %d instead of %d", name, c.Revision(), have.Revision, id, e.revision)
-		case e.entry != nil && s.epoch > 0 && !have.Published() && have.Draining && have.knownBefore(e.entry):
+		case e.entry != nil && s.epoch > 0 && !have.Published() && have.Draining && seenBefore(have, e.entry):
 			// It left after the copy of the store was made.
 		case e.entry != nil && !have.Published() && have.removedRevision <= e.revision:
 			t.Fatalf("%s at revision %d lost server %d, which was published at revision %d", name, c.Revision(), id, e.revision)
@@ -159,6 +159,11 @@
 	}
 }
 
+// seenBefore reports whether an entry was written before the last known one, or is it.
+func seenBefore(s, entry *Server) bool {
+	return entry.Started < s.Started || entry.Started == s.Started && entry.Sequence <= s.Sequence
+}
+
 // knowledge is the latest that a catalog knows of each server.
 func knowledge(c *Catalog) map[ServerID]Server {
 	known := make(map[ServerID]Server)
@@ -175,7 +180,7 @@
 		if have == nil {
 			continue
 		}
-		if !old.knownBefore(have) {
+		if !seenBefore(&old, have) {
 			continue
 		}
 		if have.Started != old.Started || have.Sequence != old.Sequence || have.Draining != old.Draining {
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"net/netip"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -113,3 +114,60 @@
 	g.Expect(healthy).To(BeZero())
 	g.Expect(c.AbsenceConfirmed(61 * second)).To(BeFalse())
 }
+
+// Guards against new flows to a server whose report of draining has the sequence of a known entry.
+func TestDrainingOfAnEqualSequenceCounts(t *testing.T) {
+	g := NewWithT(t)
+	c, restore := restoredCatalog()
+	restore(written(1, 3, 7, false), written(2, 12, 7, true))
+	g.Expect(c.servers[2].Draining).To(BeTrue())
+}
+
+// Guards against new flows to a draining server whose earlier writes are done again in order.
+func TestEarlierWritesDoneAgainEndNoDrain(t *testing.T) {
+	g := NewWithT(t)
+	c, restore := restoredCatalog()
+	c.Apply(60*second, 60*second, second, &Change{Revision: 21, Servers: []Server{written(1, 21, 9, true)}})
+	restore(written(1, 3, 7, false), written(2, 4, 7, false))
+	c.Apply(62*second, 62*second, 61*second, &Change{Epoch: 1, Revision: 13, Servers: []Server{written(1, 13, 8, false)}})
+	g.Expect(c.servers[1].Draining).To(BeTrue())
+}
+
+// Guards against flows to the former address of a server that restarts after a restore with a clock that is behind.
+func TestStartWithAnEarlierClockAfterARestoreCounts(t *testing.T) {
+	g := NewWithT(t)
+	c, restore := restoredCatalog()
+	restore(written(1, 3, 7, false), written(2, 4, 7, false))
+	restarted := written(3, 13, 1, false)
+	restarted.Started -= 500
+	restarted.Addr = netip.MustParseAddrPort("10.0.0.77:80")
+	c.Apply(62*second, 62*second, 61*second, &Change{Epoch: 1, Revision: 13, Servers: []Server{restarted}})
+	g.Expect(c.servers[3].Addr).To(Equal(restarted.Addr))
+	g.Expect(c.servers[3].Started).To(Equal(restarted.Started))
+}
+
+// Guards against a draining server that stays out of use when its ID starts again after a restore with a clock that is behind.
+func TestStartWithAnEarlierClockAfterADrainIsInUse(t *testing.T) {
+	g := NewWithT(t)
+	c, restore := restoredCatalog()
+	c.Apply(60*second, 60*second, second, &Change{Revision: 21, Servers: []Server{written(3, 21, 3, true)}})
+	restore(written(1, 3, 7, false), written(2, 4, 7, false))
+	restarted := written(3, 13, 1, false)
+	restarted.Started -= 500
+	c.Apply(62*second, 62*second, 61*second, &Change{Epoch: 1, Revision: 13, Servers: []Server{restarted}})
+	g.Expect(c.Active(c.servers[3])).To(BeTrue())
+	g.Expect(c.servers[3].Draining).To(BeFalse())
+}
+
+// Guards against flows to the former address of a server that restarted with a clock that is behind, listed by an older copy.
+func TestRestoreKeepsAStartWithAnEarlierClock(t *testing.T) {
+	g := NewWithT(t)
+	c, restore := restoredCatalog()
+	restarted := written(2, 21, 1, false)
+	restarted.Started -= 500
+	restarted.Addr = netip.MustParseAddrPort("10.0.0.77:80")
+	c.Apply(60*second, 60*second, second, &Change{Revision: 21, Servers: []Server{restarted}})
+	restore(written(1, 3, 7, false), written(2, 4, 7, false))
+	g.Expect(c.servers[2].Started).To(Equal(restarted.Started))
+	g.Expect(c.servers[2].Addr).To(Equal(restarted.Addr))
+}
--- a/core/catalog/types.go
+++ b/core/catalog/types.go
@@ -73,19 +73,14 @@
 	// addressTaken is set if another server has taken the address, which this server
 	// has therefore lost.
 	addressTaken bool
-	// restored is set if what is known is of an earlier epoch than the catalog's, and
-	// the entry has not been read since.
-	restored bool
+	// formerStarts are the last starts of the server that this instance has seen before
+	// this one, at most maxFormerStarts.
+	formerStarts []int64
 	// removedRevision is the revision at which the entry was removed, valid while
 	// it is missing.
 	removedRevision Revision
 }
 
-// knownBefore reports whether an entry says nothing that is not known of the server.
-func (s *Server) knownBefore(entry *Server) bool {
-	return entry.Started < s.Started || entry.Started == s.Started && entry.Sequence <= s.Sequence
-}
-
 // tookAddress reports whether the server has taken the address of another one, which
 // has therefore ended: it started later and was published later. One of these alone does
 // not show it, since clocks differ and a write of a server may be done after its end.
