Begin an epoch also between the pages of the first list

A restore of the store between two pages of an instance's first list left servers of the first page with revisions of the former epoch: reports of draining and removals with lower ones were ignored, servers that the copy lacks stayed in use, and a drain that the first page had shown was undone.

A page of a later epoch begins the epoch like a full list does; one of a former epoch brings no servers. What a page has shown is kept like what a list has shown.

TestPagesOfAFormerEpochHideNoChanges and TestPagesOfAFormerEpochKeepServersDraining failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -151,8 +151,14 @@
 	if c.loaded {
 		return result
 	}
-	c.epoch = max(c.epoch, ch.Epoch)
 	result.ConfigChanged = c.applyConfig(ch.Config)
+	if ch.Epoch < c.epoch {
+		return result
+	}
+	if ch.Epoch > c.epoch {
+		c.beginEpoch(ch.Epoch)
+		defer c.endRestoring()
+	}
 	for i := range ch.Servers {
 		if c.admits(ch, &ch.Servers[i]) {
 			c.putServer(now, ch.Servers[i], &result)
@@ -264,7 +270,7 @@
 // it is written again: the list shows older states of servers that have begun to
 // leave, and lacks servers that started since.
 func (c *Catalog) beginEpoch(e Epoch) {
-	c.restoring = c.loaded
+	c.restoring = len(c.servers) > 0
 	c.epoch, c.revision, c.forgottenRevision, c.healthySince = e, 0, 0, 0
 	for _, s := range c.servers {
 		s.Revision, s.removedRevision = 0, 0
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -171,3 +171,28 @@
 	g.Expect(c.servers[2].Started).To(Equal(restarted.Started))
 	g.Expect(c.servers[2].Addr).To(Equal(restarted.Addr))
 }
+
+// Guards against changes that are ignored after a start at which a restore came between two pages.
+func TestPagesOfAFormerEpochHideNoChanges(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.AddPartial(second, &Change{Revision: 23, Config: config(4), Servers: []Server{written(1, 23, 7, false), written(2, 22, 7, false)}})
+	page := Change{Epoch: 1, Revision: 12, Config: config(4), Servers: []Server{written(1, 3, 5, false)}}
+	c.AddPartial(2*second, &page)
+	page.Full = true
+	c.Apply(2*second, 2*second, 2*second, &page)
+	c.Apply(3*second, 3*second, 2*second, &Change{Epoch: 1, Revision: 13, Servers: []Server{written(1, 13, 9, true)}})
+	g.Expect(c.servers[1].Draining).To(BeTrue())
+	c.Apply(7*second, 7*second, 2*second, &Change{Epoch: 1, Revision: 14})
+	c.Expire(7 * second)
+	g.Expect(c.Active(c.servers[2])).To(BeFalse(), "it is not in the store")
+}
+
+// Guards against new flows to a server that drains after a start at which a restore came between two pages.
+func TestPagesOfAFormerEpochKeepServersDraining(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.AddPartial(second, &Change{Revision: 23, Config: config(4), Servers: []Server{written(1, 23, 9, true)}})
+	c.Apply(2*second, 2*second, 2*second, &Change{Epoch: 1, Revision: 12, Full: true, Config: config(4), Servers: []Server{written(1, 3, 7, false)}})
+	g.Expect(c.servers[1].Draining).To(BeTrue())
+}
