Let servers that only an older copy of the store shows take no addresses

An instance that had started after a server got the address of another one did not know that one. When the store returned from a copy that lists it, with a clock that was ahead, it counted as the later holder of the address: the flows of the running server were reset (FLOW) and it got no new ones for a minute.

Servers that are first seen in the list that begins an epoch count as published before all that is known.

TestFormerHolderInACopyTakesNoAddress failed before: address_taken.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -355,7 +355,9 @@
 	}
 	entry.Token = token.ForServer(uint64(entry.ID))
 	entry.FirstSeen, entry.MissingSince = now, 0
-	entry.published = Position{c.epoch, entry.Revision}
+	if !c.restoring { // otherwise it was published before all that is known
+		entry.published = Position{c.epoch, entry.Revision}
+	}
 	if old != nil {
 		entry.formerStarts = append(slices.Clone(old.formerStarts), old.Started)
 		entry.formerStarts = entry.formerStarts[max(0, len(entry.formerStarts)-maxFormerStarts):]
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -196,3 +196,18 @@
 	c.Apply(2*second, 2*second, 2*second, &Change{Epoch: 1, Revision: 12, Full: true, Config: config(4), Servers: []Server{written(1, 3, 7, false)}})
 	g.Expect(c.servers[1].Draining).To(BeTrue())
 }
+
+// Guards against reset flows of a server whose address had another one, with a clock ahead, in the copy.
+func TestFormerHolderInACopyTakesNoAddress(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	c.Apply(second, second, second, fullChange(22, config(4, "1.1.1.1:80"), written(1, 3, 7, false), written(6, 22, 1, false)))
+	former := written(5, 4, 7, false)
+	former.Started += 2000
+	former.Addr = c.servers[6].Addr
+	c.Apply(10*second, 10*second, 10*second, &Change{Epoch: 1, Revision: 12, Full: true, Config: config(4, "1.1.1.1:80"), Servers: []Server{written(1, 3, 7, false), former}})
+	g.Expect(c.Presence(c.servers[6])).NotTo(Equal(AddressTaken))
+	c.Apply(11*second, 11*second, 10*second, &Change{Epoch: 1, Revision: 13, Servers: []Server{written(6, 13, 3, false)}})
+	g.Expect(c.Presence(c.servers[6])).To(Equal(Listed))
+	g.Expect(c.Active(c.servers[6])).To(BeTrue())
+}
