Pass on removals of servers that are missing or not known here

A server that had left could stay in use at an instance for ever.

The removal of a missing server moves its revision on; removals of servers that are not known are kept for a minute, as missing servers are.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -48,6 +48,10 @@
 	byAddr        map[netip.AddrPort]*Server // the server whose incarnation was published last with each address
 	generation    uint64
 
+	// unknownRemoved has the removals of servers that are not in the catalog, for
+	// followers that may have them. They are kept for missingRetention.
+	unknownRemoved map[ServerID]unknownRemoval
+
 	asOf         time.Duration // time at which the store was not ahead of revision
 	healthySince time.Duration // start of the current healthy period, 0 before the first
 	maxReadGap   time.Duration // maximum time between two reads of a healthy period
@@ -56,6 +60,12 @@
 	restoring bool
 }
 
+// unknownRemoval is the removal of the entry of a server that is not in the catalog.
+type unknownRemoval struct {
+	at       time.Duration // when it became known
+	revision Revision
+}
+
 // New returns an empty catalog.
 func New() *Catalog {
 	return &Catalog{
@@ -66,6 +76,8 @@
 		byService:     make(map[string][]*Server),
 		byAddr:        make(map[netip.AddrPort]*Server),
 		maxReadGap:    defaultMaxReadGap,
+
+		unknownRemoved: make(map[ServerID]unknownRemoval),
 	}
 }
 
@@ -249,7 +261,14 @@
 		}
 	}
 	for _, r := range ch.Removed {
-		if s := c.servers[r.ID]; s != nil && s.Published() && r.Revision > s.Revision && (r.Name == "" || r.Name == s.Name) {
+		s := c.servers[r.ID]
+		switch {
+		case s == nil:
+			c.unknownRemoved[r.ID] = unknownRemoval{now, r.Revision}
+		case r.Name != "" && r.Name != s.Name:
+		case !s.Published():
+			s.removedRevision = max(s.removedRevision, r.Revision)
+		case r.Revision > s.Revision:
 			c.removeServer(now, s, r.Revision, &result)
 		}
 	}
@@ -265,13 +284,14 @@
 	return result
 }
 
-// beginEpoch prepares the catalog for the first full list of a later epoch. The store
+// beginEpoch prepares the catalog for the first list of a later epoch. The store
 // has lost the changes since its copy was made. What is known stays known until
 // it is written again: the list shows older states of servers that have begun to
 // leave, and lacks servers that started since.
 func (c *Catalog) beginEpoch(e Epoch) {
 	c.restoring = len(c.servers) > 0
 	c.epoch, c.revision, c.forgottenRevision, c.healthySince = e, 0, 0, 0
+	clear(c.unknownRemoved)
 	for _, s := range c.servers {
 		s.Revision, s.removedRevision = 0, 0
 	}
@@ -363,6 +383,7 @@
 		entry.formerStarts = entry.formerStarts[max(0, len(entry.formerStarts)-maxFormerStarts):]
 	}
 	c.servers[entry.ID] = &entry
+	delete(c.unknownRemoved, entry.ID)
 	c.byFormerToken[entry.formerToken()] = entry.ID
 	if c.getsToken(&entry) {
 		c.byToken[entry.Token] = &entry
@@ -526,6 +547,12 @@
 		}
 		c.forgottenRevision = max(c.forgottenRevision, s.removedRevision)
 	}
+	for id, r := range c.unknownRemoved {
+		if now-r.at >= missingRetention {
+			delete(c.unknownRemoved, id)
+			c.forgottenRevision = max(c.forgottenRevision, r.revision)
+		}
+	}
 	if inactive {
 		c.rebuildIndex()
 	}
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -211,3 +211,19 @@
 	g.Expect(c.Presence(c.servers[6])).To(Equal(Listed))
 	g.Expect(c.Active(c.servers[6])).To(BeTrue())
 }
+
+// Guards against a follower that keeps a server for ever whose removal its source takes for known.
+func TestRemovalAfterARestoreReachesFollowers(t *testing.T) {
+	g := NewWithT(t)
+	source, restore := restoredCatalog()
+	source.Apply(60*second, 60*second, second, &Change{Revision: 21, Servers: []Server{written(1, 21, 9, true)}})
+	source.Apply(60*second, 60*second, second, &Change{Revision: 22, Removed: []Removal{{ID: 1, Revision: 22}}})
+	inCopy := []Server{written(1, 3, 7, false), written(2, 4, 7, false)}
+	restore(inCopy...)
+	started := New()
+	started.Apply(61*second, 61*second, 61*second, &Change{Epoch: 1, Revision: 12, Full: true, Config: config(4), Servers: inCopy})
+	source.Apply(64*second, 64*second, 61*second, &Change{Epoch: 1, Revision: 13, Removed: []Removal{{ID: 1, Revision: 13}}})
+	started.Apply(64*second, 64*second, 61*second, source.Since(64*second, started.Position(), 4, false))
+	g.Expect(started.Position()).To(Equal(source.Position()))
+	g.Expect(serverIDs(started.ServersOf("feed"))).To(ConsistOf(ServerID(2)))
+}
--- a/core/catalog/share.go
+++ b/core/catalog/share.go
@@ -28,6 +28,11 @@
 			ch.Servers = append(ch.Servers, entry)
 		}
 	}
+	for id, r := range c.unknownRemoved {
+		if !ch.Full && r.revision > after.Revision {
+			ch.Removed = append(ch.Removed, Removal{ID: id, Revision: r.revision})
+		}
+	}
 	return ch
 }
 
