--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -152,6 +152,32 @@
 	}
 }
 
+// drain lets the host leave: it reports so and goes on serving.
+func (h *host) drain(s *store) {
+	h.mu.Lock()
+	h.state = "draining"
+	h.mu.Unlock()
+	s.put(h.key(), h.entry())
+	h.record.line("host %s draining", h.name())
+}
+
+// exit ends the host after a drain and removes its entry.
+func (h *host) exit(s *store) {
+	h.mu.Lock()
+	h.dead = true
+	open := 0
+	for _, f := range h.flows {
+		if f.open && !f.fin {
+			open++
+		}
+	}
+	h.flows = make(map[flowKey]*hostFlow)
+	h.mu.Unlock()
+	h.conn.Close()
+	s.remove(h.key())
+	h.record.line("host %s exits with %d open flows", h.name(), open)
+}
+
 func (h *host) sendReset(k flowKey, p *packet) {
 	h.record.line("host %s sends RST to %s", h.name(), k.requester)
 	h.send(k, packet{flags: flagRST, seq: p.ack, ack: p.seq + uint32(len(p.data)), echo: p.echo})
@@ -212,7 +238,12 @@
 			h.mu.Unlock()
 			return
 		}
-		h.send(k, packet{flags: flagACK, seq: end - uint32(len(f.unacked)), ack: f.want, echo: f.echo, data: f.unacked})
+		flags := byte(flagACK)
+		if h.state == "draining" { // closes each flow after its next response
+			f.fin = true
+			flags |= flagFIN
+		}
+		h.send(k, packet{flags: flags, seq: end - uint32(len(f.unacked)), ack: f.want, echo: f.echo, data: f.unacked})
 		h.mu.Unlock()
 		time.Sleep(wait)
 		wait = min(2*wait, maxRetransmit)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,8 @@
 )
 
 var cases = map[string]func(*play) error{
-	"delayed-syn": delayedSYN,
+	"delayed-syn":      delayedSYN,
+	"planned-restarts": plannedRestarts,
 }
 
 func main() {
--- a/review/standin/play.go
+++ b/review/standin/play.go
@@ -67,7 +67,7 @@
 			return err
 		}
 	}
-	go p.probe()
+	p.probe()
 	time.Sleep(startTime)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -77,6 +77,7 @@
 	reset    *packet
 	in       []byte
 	strays   int
+	ended    bool // the host has sent a FIN
 	progress chan struct{}
 }
 
@@ -185,11 +186,15 @@
 	if d := int32(p.ack - f.acked); d > 0 && int32(p.ack-f.next) <= 0 {
 		f.acked = p.ack
 	}
-	if len(p.data) > 0 {
-		if p.seq == f.want {
-			f.want += uint32(len(p.data))
-			f.in = append(f.in, p.data...)
+	if p.seq == f.want {
+		f.want += uint32(len(p.data))
+		f.in = append(f.in, p.data...)
+		if p.has(flagFIN) && !f.ended {
+			f.ended = true
+			f.want++
 		}
+	}
+	if len(p.data) > 0 || p.has(flagFIN) {
 		f.sendLocked(packet{flags: flagACK, seq: f.next, ack: f.want})
 	}
 }
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -176,27 +176,32 @@
 // probe asks each node twice a second whether it is ready.
 func (s *system) probe() {
 	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	for ; ; time.Sleep(probeInterval) {
-		for _, n := range s.nodes {
-			go func() {
-				ok := false
-				if r, err := client.Get(fmt.Sprintf("http://%s:%d/egrettack/ready", n.ip, s.ports.ready)); err == nil {
-					ok = r.StatusCode == http.StatusOK
-					r.Body.Close()
-				}
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				was := n.inRotation
-				if ok {
-					n.misses, n.inRotation = 0, true
-				} else if n.misses++; n.misses >= probeMisses {
-					n.inRotation = false
-				}
-				if was != n.inRotation {
-					s.record.line("%s in rotation: %v", n.name, n.inRotation)
-				}
-			}()
-		}
+	for i, n := range s.nodes {
+		go func() {
+			time.Sleep(time.Duration(i) * probeInterval / time.Duration(len(s.nodes)))
+			for ; ; time.Sleep(probeInterval) {
+				go s.probeOnce(client, n)
+			}
+		}()
+	}
+}
+
+func (s *system) probeOnce(client *http.Client, n *node) {
+	ok := false
+	if r, err := client.Get(fmt.Sprintf("http://%s:%d/egrettack/ready", n.ip, s.ports.ready)); err == nil {
+		ok = r.StatusCode == http.StatusOK
+		r.Body.Close()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := n.inRotation
+	if ok {
+		n.misses, n.inRotation = 0, true
+	} else if n.misses++; n.misses >= probeMisses {
+		n.inRotation = false
+	}
+	if was != n.inRotation {
+		s.record.line("%s in rotation: %v", n.name, n.inRotation)
 	}
 }
 
