--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 cd standin
-GOWORK=off go build -o ../bin/ .
+GOWORK=off go build -buildvcs=false -o ../bin/ .
--- a/review/standin/plannedrestarts.go
+++ b/review/standin/plannedrestarts.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	rollGap       = 1300 * time.Millisecond // between the SIGTERMs of two nodes
+	rollGap       = 1300 * time.Millisecond // shortest time between the SIGTERMs of two nodes
+	rollJitter    = 400 * time.Millisecond
 	restartDelay  = 200 * time.Millisecond
 	hostGap       = 600 * time.Millisecond // between the drains of two hosts
 	hostTail      = 500 * time.Millisecond // served beyond drain_ms
@@ -117,7 +118,7 @@
 		select {
 		case <-over:
 			return
-		case <-time.After(rollGap):
+		case <-time.After(rollGap + rand.N(rollJitter)):
 		}
 		x := p.nodes[n%rolledNodes]
 		select {
