--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -17,6 +17,8 @@
 	maxRetransmits  = 8
 	requestEnd      = "\r\n\r\n"
 	responseBody    = 600 // bytes
+	hostSlots       = 2   // requests processed concurrently
+	hostQueue       = 8   // requests that wait for a slot
 )
 
 // host is one lifetime of a backend host. It follows the page "Flows": it answers
@@ -37,7 +39,9 @@
 	ran            func(h *host, k flowKey, id string)
 
 	conn  *net.UDPConn
+	slots chan struct{}
 	mu    sync.Mutex
+	queue int // requests that wait for a slot
 	flows map[flowKey]*hostFlow
 	ended map[flowKey]bool
 	dead  bool
@@ -64,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	h.slots = make(chan struct{}, hostSlots)
 	h.conn, h.flows, h.ended, h.state = conn, make(map[flowKey]*hostFlow), make(map[flowKey]bool), "ready"
 	h.born = time.Now().UnixMilli()
 	go h.receive()
@@ -213,6 +218,22 @@
 	}
 }
 
+// takeSlot waits for a slot. It reports false if too many requests wait already.
+func (h *host) takeSlot() bool {
+	h.mu.Lock()
+	if h.queue >= hostQueue {
+		h.mu.Unlock()
+		return false
+	}
+	h.queue++
+	h.mu.Unlock()
+	h.slots <- struct{}{}
+	h.mu.Lock()
+	h.queue--
+	h.mu.Unlock()
+	return true
+}
+
 func requestID(head []byte) string {
 	_, rest, _ := bytes.Cut(head, []byte("Request-Id: "))
 	id, _, _ := bytes.Cut(rest, []byte("\r\n"))
@@ -220,13 +241,19 @@
 }
 
 func (h *host) run(k flowKey, f *hostFlow, id string) {
-	h.record.line("host %s runs %s of %s", h.name(), id, k.requester)
-	if h.ran != nil {
-		h.ran(h, k, id)
+	status, body := "503 Service Unavailable\r\nNot-Executed: 1", []byte("full")
+	if h.takeSlot() {
+		h.record.line("host %s runs %s of %s", h.name(), id, k.requester)
+		if h.ran != nil {
+			h.ran(h, k, id)
+		}
+		time.Sleep(h.work)
+		<-h.slots
+		status, body = "200 OK", bytes.Repeat([]byte("x"), responseBody)
+	} else {
+		h.record.line("host %s rejects %s of %s", h.name(), id, k.requester)
 	}
-	time.Sleep(h.work)
-	body := bytes.Repeat([]byte("x"), responseBody)
-	response := append([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n\r\n", len(body), id, h.name())), body...)
+	response := append([]byte(fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n\r\n", status, len(body), id, h.name())), body...)
 	h.mu.Lock()
 	f.unacked = response
 	f.next += uint32(len(response))
