Reset open flows only by what was read after their packets

Cause: a flow was reset at once when the catalog had its server as left or its address as taken. That knowledge is up to one read interval old, and the server may have started again since: the flow opened at the new start, by way of an instance that had read its entry, and was moved by the routers to one that had not.

Change: such a flow becomes a suspect. Its packets go to the last known address of the server, where a new start answers, but not to an address that another server has taken. It is reset when a read of the store that began after its first packet without a response still shows the end, and the caller has sent that packet again, or the address is taken.

Why this works: an instance opens a flow at a new start by its entry, or at the old address. The first is in the store before the packet, so the read shows it; in the second case the server answers.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -29,6 +29,7 @@
 	allInstancesKnown bool
 	spills            map[string]*spillWindow // by service
 	residences        map[string]*residence   // by service
+	suspects          map[Key]*suspect
 
 	profiles      map[netip.AddrPort]*outlier.ResponseProfile // by destination
 	lastDetection time.Duration                               // last run of detectOutliers
@@ -47,6 +48,7 @@
 		profiles: make(map[netip.AddrPort]*outlier.ResponseProfile),
 
 		residences: make(map[string]*residence),
+		suspects:   make(map[Key]*suspect),
 
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
 	}
@@ -111,6 +113,7 @@
 	case s == nil:
 		return Verdict{Action: Reset, Reason: NoServer}
 	}
+	delete(e.suspects, key)
 	if f == nil {
 		f = &flowEntry{synSeq: p.Seq, nextSeq: p.Seq + 1}
 		e.flows[key] = f
@@ -155,13 +158,9 @@
 		return Verdict{Action: Drop, Reason: WrongService}
 	}
 	if presence, ended := e.hasEnded(s); ended {
-		e.removeFlowByKey(key)
-		v := Verdict{Action: Reset, Reason: ServerGone, Server: s, Presence: presence}
-		if p.RST {
-			v.Action = Drop
-		}
-		return v
+		return e.deliverToEnded(now, p, f, s, presence)
 	}
+	delete(e.suspects, key)
 	return Verdict{Action: Forward, Reason: Token, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
 }
 
--- /dev/null
+++ b/core/steer/suspect.go
@@ -0,0 +1,109 @@
+package steer
+
+import (
+	"time"
+
+	"egrettack.example/core/catalog"
+)
+
+const (
+	// minRetransmitGap is the time from a packet to a copy of it from which on the copy
+	// shows that there was no response. Copies that are read closer together have waited
+	// in the socket. Callers send the first copy after 200 ms.
+	minRetransmitGap = 100 * time.Millisecond
+	// suspectTimeout is the time without a packet after which the caller has given up
+	// the flow: retransmissions are at most 1.6 s apart.
+	suspectTimeout = 2 * time.Second
+)
+
+// suspect is an open flow whose server has ended, as far as the catalog tells. The
+// server may have started again since the catalog was current, and hold the flow: what
+// was known when a packet arrived is no reason for a reset. It takes a read of the store
+// that began after the packet had arrived, and still shows the end.
+type suspect struct {
+	server   *catalog.Server
+	since    time.Duration // arrival of the first packet that has got no response
+	lastSeen time.Duration // arrival of the last packet
+	ack      uint32        // the caller's acknowledgement in these packets
+	// unanswered is set when the caller has sent a packet again that was forwarded to
+	// the server's last address.
+	unanswered bool
+}
+
+// deliverToEnded decides on a packet of a flow whose server has ended by what the
+// catalog knows. The packet goes to the last address of the server, where a new start of
+// it would answer, unless another server has that address.
+func (e *Engine) deliverToEnded(now time.Duration, p *Packet, f *flowEntry, s *catalog.Server, presence catalog.Presence) Verdict {
+	key := p.Key()
+	v := Verdict{Action: Forward, Reason: ServerGone, Server: s, Presence: presence}
+	if p.RST {
+		delete(e.suspects, key)
+		e.removeFlowByKey(key)
+		v.Action = Drop
+		return v
+	}
+	x := e.suspects[key]
+	if x == nil || x.server != s || x.ack != p.Ack {
+		x = &suspect{server: s, since: now, ack: p.Ack}
+		e.suspects[key] = x
+	}
+	x.lastSeen = now
+	if presence == catalog.AddressTaken {
+		v.Action = Drop
+	} else {
+		repeated := p.Len > 0 && f != nil && int32(p.Seq+uint32(p.Len)-f.nextSeq) <= 0
+		x.unanswered = x.unanswered || repeated && now-x.since >= minRetransmitGap
+		v.ResponseTime = e.observePacket(now, key, f, s, p)
+	}
+	if e.isOver(x, presence) {
+		delete(e.suspects, key)
+		e.removeFlowByKey(key)
+		v.Action = Reset
+	}
+	return v
+}
+
+// isOver reports whether the flow of a suspect has no server any more: the store was
+// read after the flow's packet had arrived, and the server has lost its address or has
+// left the packet unanswered.
+func (e *Engine) isOver(x *suspect, presence catalog.Presence) bool {
+	return e.catalog.AbsenceConfirmed(x.since) && (presence == catalog.AddressTaken || x.unanswered)
+}
+
+// OverFlow is an open flow that is to be reset, for its server has ended.
+type OverFlow struct {
+	Packet  Packet        // the flow's addresses and the last acknowledgement of the caller
+	Verdict Verdict       // the reset
+	Waited  time.Duration // since the first packet without a response
+}
+
+// TakeOverFlows returns the flows that a read of the store has shown to be over, and
+// forgets them. It is called after each update of the catalog.
+func (e *Engine) TakeOverFlows(now time.Duration) []OverFlow {
+	var over []OverFlow
+	for key, x := range e.suspects {
+		presence, ended := e.hasEnded(x.server)
+		switch {
+		case !ended || e.catalog.Latest(x.server) != x.server:
+			delete(e.suspects, key)
+		case e.isOver(x, presence):
+			delete(e.suspects, key)
+			e.removeFlowByKey(key)
+			over = append(over, OverFlow{
+				Packet:  Packet{Caller: key.Caller, Dest: key.Dest, ACK: true, Ack: x.ack, Token: x.server.Token},
+				Verdict: Verdict{Action: Reset, Reason: ServerGone, Server: x.server, Presence: presence},
+				Waited:  now - x.since,
+			})
+		}
+	}
+	return over
+}
+
+// expireSuspects forgets the flows whose callers have given up.
+func (e *Engine) expireSuspects(now time.Duration) {
+	for key, x := range e.suspects {
+		if now-x.lastSeen > suspectTimeout {
+			delete(e.suspects, key)
+		}
+	}
+}
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -168,8 +168,7 @@
 	current := i.catalog.Confirm(at, pos)
 	if current {
 		now := i.clock.now()
-		i.retryHeld(now)
-		i.updateFollowers(now)
+		i.reactToUpdate(now)
 		i.informSource(now, netip.Addr{})
 	}
 	i.mu.Unlock()
@@ -284,9 +283,16 @@
 		i.log.Info("ready", "version", i.catalog.Version(), "revision", i.catalog.Revision(),
 			"held", len(i.held.packets), "from", from)
 	}
+	i.reactToUpdate(now)
+	return true
+}
+
+// reactToUpdate does what an update of the catalog allows: it resets flows that are over,
+// decides again on held packets and updates the followers.
+func (i *Instance) reactToUpdate(now time.Duration) {
+	i.resetOverFlows(now)
 	i.retryHeld(now)
 	i.updateFollowers(now)
-	return true
 }
 
 // maxServerLines is the largest number of servers of one change that are logged in
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -102,6 +102,14 @@
 	i.held.packets = append(i.held.packets, heldPacket{now, append([]byte(nil), data...), *p})
 }
 
+// resetOverFlows resets the open flows that a read of the store has shown to be over.
+func (i *Instance) resetOverFlows(now time.Duration) {
+	out := make([]byte, 0, readBuffer)
+	for _, f := range i.engine.TakeOverFlows(now) {
+		i.execute(now, f.Waited, f.Verdict, &f.Packet, nil, out)
+	}
+}
+
 // retryHeld decides again on the held packets after the catalog has changed. Of
 // several copies of a SYN only the first counts: the others would go to further
 // servers. A SYN whose next copy did not come is dropped: its caller may have opened
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -143,8 +143,7 @@
 	}
 	if m.Version <= i.catalog.Version() && i.catalog.Confirm(at, m.Position()) {
 		i.catalog.ExtendStoreHealthy(at, m.StoreHealthyFor.Duration())
-		i.retryHeld(now)
-		i.updateFollowers(now)
+		i.reactToUpdate(now)
 		return
 	}
 	if !i.peers.pulling && i.mayPull(now) {
