Count full lists as gaps in what is known of flows

Cause: packets with an unknown token, or to an unknown route, were reset when the store, read after their arrival, lacked the server or the route, and the instance had run for a minute. A full list, after the store has dropped its history or was restored, does not tell what came and went since the last change that was read: a server may run without an entry, which the store refuses, and a restore loses confirmed routes until the operator writes them again. An unknown route was reset even in the first minute.

Change: the minute counts from the last full list, for routes as well. A route that the instance has seen go is known to be gone at once.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -38,7 +38,7 @@
 	epoch             Epoch // of revision
 	revision          Revision
 	loaded            bool          // a full list of servers was applied
-	loadedAt          time.Duration // when the first one was
+	loadedAt          time.Duration // when the last one was: changes before it may not be known
 	forgottenRevision Revision      // removals up to it are not all known
 
 	servers       map[ServerID]*Server // the latest incarnation of each
@@ -250,9 +250,7 @@
 	}
 	if ch.Full {
 		c.markMissing(now, ch, &result)
-		if !c.loaded {
-			c.loaded, c.loadedAt = true, now
-		}
+		c.loaded, c.loadedAt = true, now
 		c.forgottenRevision = max(c.forgottenRevision, ch.Revision)
 	}
 	for i := range ch.Servers {
@@ -521,9 +519,16 @@
 	return c.loaded && c.asOf >= at && c.healthySince > 0 && c.asOf-c.healthySince > goneTimeout
 }
 
-// KnowsAllFlows reports whether the catalog has all servers that may have open flows.
-// It lacks servers whose entries were missing when its first list was made, which may
-// be running.
+// RouteRemoved reports whether a later configuration has removed the route to a
+// destination address. It is not known of all removed routes.
+func (c *Catalog) RouteRemoved(dest netip.AddrPort) bool {
+	_, removed := c.routes.removedIn[dest]
+	return removed
+}
+
+// KnowsAllFlows reports whether the catalog has all servers and routes that may have open
+// flows. It lacks those that came and went before its last full list: a server without an
+// entry may be running, and a restore of the store loses routes for a while.
 func (c *Catalog) KnowsAllFlows(now time.Duration) bool {
 	return c.loaded && now-c.loadedAt >= missingRetention
 }
--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -224,3 +224,47 @@
 	l.catalog.Confirm(l.now, catalog.Position{Revision: 20})
 	l.Expect(l.engine.DecideHeld(l.now, heldAt, p).Action).NotTo(Equal(Reset))
 }
+
+// decideAfterRead decides on a packet of an open flow that is held until the next read of the store.
+func (l *fixture) decideAfterRead(p *Packet) Verdict {
+	l.Expect(l.engine.Decide(l.now, p).Action).To(Equal(Hold))
+	heldAt := l.now
+	l.now += 500 * time.Millisecond
+	l.catalog.Confirm(l.now, l.catalog.Position())
+	return l.engine.DecideHeld(l.now, heldAt, p)
+}
+
+// readFor reads the store for a while.
+func (l *fixture) readFor(d time.Duration) {
+	for end := l.now + d; l.now < end; l.now += 500 * time.Millisecond {
+		l.catalog.Confirm(l.now, l.catalog.Position())
+	}
+}
+
+// Guards against resetting an open flow of which nothing is known any more after a full list, which does not tell what came and went since the last change that was read.
+func TestFlowThatAFullListDoesNotTellOfIsNotReset(t *testing.T) {
+	l := newFixture(t)
+	l.readFor(2 * time.Minute)
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{
+		Revision: 30, Full: true, Servers: []catalog.Server{newServer(1, "feed", "a")},
+	})
+	l.readFor(10 * time.Second)
+	unknown := &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Seq: 500, Ack: 9, Len: 10, Token: 12345}
+	unrouted := &Packet{Caller: l.newCaller(), Dest: netip.MustParseAddrPort("198.18.0.3:443"), ACK: true, Seq: 500, Ack: 9, Token: 12345}
+	l.Expect(l.decideAfterRead(unknown).Action).To(Equal(Hold))
+	l.Expect(l.decideAfterRead(unrouted).Action).To(Equal(Hold))
+	l.readFor(time.Minute)
+	l.Expect(l.decideAfterRead(unknown).Action).To(Equal(Reset))
+	l.Expect(l.decideAfterRead(unrouted).Action).To(Equal(Reset))
+}
+
+// Guards against flows of a dropped route that hang at an instance that has just read a full list.
+func TestFlowOfARouteThatWasSeenToGoIsReset(t *testing.T) {
+	l := newFixture(t)
+	l.readFor(5 * time.Second)
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 11, Config: &catalog.Config{Version: 2, Routes: []catalog.Route{
+		{Dest: upload, Targets: []catalog.Target{{Service: "upload", Weight: 1}}},
+	}}})
+	p := &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Seq: 500, Ack: 9, Token: l.serverByID(1).Token}
+	l.Expect(l.decideAfterRead(p)).To(Equal(Verdict{Action: Reset, Reason: NoRoute}))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -188,8 +188,8 @@
 		return v
 	}
 	// The store was read since the packet arrived, and has no route to the address or
-	// no server with the token.
-	if v.Reason == UnknownToken && !e.catalog.KnowsAllFlows(now) {
+	// no server with the token. There may have been one.
+	if !e.catalog.KnowsAllFlows(now) && !(v.Reason == NoRoute && e.catalog.RouteRemoved(p.Dest)) {
 		return v
 	}
 	e.removeFlowByKey(p.Key())
