Log how long a SYN may have waited in the socket

The logs could not tell a SYN that was placed late from one that was placed twice in time: the time of a packet was that at which it was read.

--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -21,6 +21,9 @@
 	Retransmits        int // of a SYN: number of times it was sent before
 	Len                int // of the payload, bytes
 	Token              token.Token
+	// Age is the longest time for which the packet may have waited to be decided on
+	// since it arrived.
+	Age time.Duration
 }
 
 // Key identifies a flow.
--- a/node/edge/contain.go
+++ b/node/edge/contain.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -63,13 +62,13 @@
 
 // receive handles the datagrams of a socket until ctx is done. A failure to read
 // is survived, a panic of the handler as well.
-func (i *Instance) receive(ctx context.Context, conn *net.UDPConn, what string, handle func(from netip.AddrPort, datagram []byte)) error {
+func (i *Instance) receive(ctx context.Context, conn *net.UDPConn, what string, read func(b []byte) (int, error), handle func(datagram []byte)) error {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	b := make([]byte, readBuffer)
 	var f failures
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(b)
+		n, err := read(b)
 		if err != nil {
 			again, err := f.retry(ctx, i, "receive "+what+" on "+conn.LocalAddr().String(), err)
 			if !again {
@@ -78,6 +77,6 @@
 			continue
 		}
 		f = failures{}
-		i.contain(what, func() { handle(from, b[:n]) })
+		i.contain(what, func() { handle(b[:n]) })
 	}
 }
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -36,15 +36,18 @@
 
 // receivePackets handles packets until ctx is done.
 func (i *Instance) receivePackets(ctx context.Context) error {
+	r, err := newPacketReader(i.socket, i.clock)
+	if err != nil {
+		return err
+	}
 	out := make([]byte, 0, readBuffer)
-	return i.receive(ctx, i.socket, "packet", func(_ netip.AddrPort, datagram []byte) {
-		i.handlePacket(i.clock.now(), datagram, out)
-	})
+	return i.receive(ctx, i.socket, "packet", r.read, func(datagram []byte) { i.handlePacket(r.emptyAt, datagram, out) })
 }
 
-// handlePacket decides on one packet and executes the decision. out is a scratch
-// buffer.
-func (i *Instance) handlePacket(now time.Duration, data, out []byte) {
+// handlePacket decides on one packet, which arrived after the given time, and executes
+// the decision. out is a scratch buffer.
+func (i *Instance) handlePacket(arrivedAfter time.Duration, data, out []byte) {
+	began := i.clock.now()
 	var p steer.Packet
 	if err := i.packets.Decode(data, &p); err != nil {
 		i.metrics.malformed.Inc()
@@ -52,6 +55,8 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock.now()
+	p.Age = now - arrivedAfter
 	i.state.lastPacket = now
 	if i.isWaiting(now, &p) {
 		return
@@ -65,7 +70,7 @@
 		i.placeWaiting(now)
 	}
 	if p.SYN {
-		i.metrics.decisions.Observe((i.clock.now() - now).Seconds())
+		i.metrics.decisions.Observe((i.clock.now() - began).Seconds())
 	}
 }
 
@@ -181,9 +186,10 @@
 	}
 	switch {
 	case p.SYN && v.Server != nil:
-		attrs = append(attrs, slog.Int("copy", p.Retransmits), slog.Float64("load", v.Load), slog.Uint64("token", uint64(v.Server.Token)))
+		attrs = append(attrs, slog.Int("copy", p.Retransmits), slog.Duration("packet_age", p.Age),
+			slog.Float64("load", v.Load), slog.Uint64("token", uint64(v.Server.Token)))
 	case p.SYN:
-		attrs = append(attrs, slog.Int("copy", p.Retransmits))
+		attrs = append(attrs, slog.Int("copy", p.Retransmits), slog.Duration("packet_age", p.Age))
 	default:
 		attrs = append(attrs, slog.Uint64("token", uint64(p.Token)), slog.Uint64("seq", uint64(p.Seq)))
 	}
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -74,7 +74,12 @@
 
 // receivePeers handles the messages of peers until ctx is done.
 func (i *Instance) receivePeers(ctx context.Context) error {
-	return i.receive(ctx, i.peers.conn, "peer message", func(from netip.AddrPort, datagram []byte) {
+	var from netip.AddrPort
+	read := func(b []byte) (n int, err error) {
+		n, from, err = i.peers.conn.ReadFromUDPAddrPort(b)
+		return n, err
+	}
+	return i.receive(ctx, i.peers.conn, "peer message", read, func(datagram []byte) {
 		i.handlePeerMessage(ctx, from.Addr().Unmap(), datagram)
 	})
 }
