Drop SYNs whose callers may have sent the next copy elsewhere

Cause: the woken instance read SYNs up to 3 s old and placed them. The routers had taken it out of rotation meanwhile, and the callers' copies had opened the flows by way of another instance. The answers to the late SYNs changed the tokens that the callers return.

Change: a SYN is decided on only until its caller sends the next copy, counted from the earliest time at which it can have arrived. Until then no other instance can have got a copy of it. This holds for refusals as well.

TestOldSYNIsNotDecidedOn and TestSYNThatWaitedInTheSocketIsDropped fail without the check.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -268,3 +268,17 @@
 	p := &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Seq: 500, Ack: 9, Token: l.serverByID(1).Token}
 	l.Expect(l.decideAfterRead(p)).To(Equal(Verdict{Action: Reset, Reason: NoRoute}))
 }
+
+// Guards against placing or refusing a SYN that is older than it looks: its caller has sent a copy, and may have opened the flow elsewhere.
+func TestOldSYNIsNotDecidedOn(t *testing.T) {
+	l := newFixture(t)
+	unrouted := netip.MustParseAddrPort("198.18.0.3:443")
+	for retransmits, next := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		for _, dest := range []netip.AddrPort{feed, unrouted} {
+			p := &Packet{Caller: l.newCaller(), Dest: dest, SYN: true, Seq: 100, Retransmits: retransmits, Age: next}
+			l.Expect(l.engine.Decide(l.now, p)).To(Equal(Verdict{Action: Drop, Reason: Late}))
+			p.Age = next - time.Millisecond
+			l.Expect(l.engine.Decide(l.now, p).Reason).NotTo(Equal(Late))
+		}
+	}
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -58,6 +58,9 @@
 // responsiveness of servers with what the packet shows.
 func (e *Engine) Decide(now time.Duration, p *Packet) Verdict {
 	e.detectPause(now)
+	if p.SYN && p.ValidFor() <= 0 {
+		return Verdict{Action: Drop, Reason: Late}
+	}
 	if e.catalog.Config() == nil {
 		return Verdict{Action: Hold, Reason: NotLoaded}
 	}
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -66,11 +66,12 @@
 	NoRoom                     // the servers have as much work as they can do in time
 	Duplicate                  // a copy of a SYN that was forwarded just before
 	NotRepeated                // a SYN that waited, and whose next copy did not arrive
+	Late                       // a SYN that arrived long ago: see Packet.ValidFor
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
-	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token", "no_room", "duplicate", "not_repeated",
+	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token", "no_room", "duplicate", "not_repeated", "late",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
--- a/node/edge/waiting_test.go
+++ b/node/edge/waiting_test.go
@@ -88,3 +88,18 @@
 		})
 	}
 }
+
+// Guards against placing a SYN that waited in the socket while the process stood still: its caller has opened the flow by way of another instance.
+func TestSYNThatWaitedInTheSocketIsDropped(t *testing.T) {
+	l := newHarness(t)
+	i := l.start(1, l.store)
+	l.Eventually(func() int { return l.readyStatus(1) }).Should(Equal(http.StatusOK))
+	i.mu.Lock()
+	l.sendPacket(1, "SYN")
+	time.Sleep((&steer.Packet{}).ValidFor() + emptyCheckInterval)
+	i.mu.Unlock()
+	l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
+	l.Eventually(i.log.String).Should(MatchRegexp(`action=drop reason=late .*packet_age=`))
+	l.sendPacket(1, "SYN")
+	l.Expect(l.receive(time.Second)).To(Equal("host-1 SYN"))
+}
