Neither place nor refuse a SYN while its next copy is due

The review saw requesters refused whose flows had opened by way of another instance, and a flow that two instances placed.

Cause: a SYN that waits for room, or for the first list, was decided on until 50 ms after its next copy was due. In these the copy may have been placed by another instance.

Change: it is decided on until the copy is due, and kept for 50 ms more, to be renewed by the copy. One function tells the time for all SYNs.

The tests that named the 50 ms as part of the time now demand the shorter one.

--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -102,15 +102,33 @@
 	g := NewWithT(t)
 	w := NewWaiting[string, string]()
 	for _, name := range []string{"moved", "stays"} {
-		g.Expect(w.Add(0, "feed", name, 250*ms, flow(name, 1, 0))).To(BeTrue())
+		g.Expect(w.Add(0, "feed", name, 200*ms, flow(name, 1, 0))).To(BeTrue())
 	}
-	g.Expect(w.Renew("stays", 650*ms)).To(BeTrue())
-	g.Expect(w.Renew("another", 650*ms)).To(BeFalse())
+	g.Expect(w.Renew("stays", 600*ms)).To(BeTrue())
+	g.Expect(w.Renew("another", 600*ms)).To(BeFalse())
 	g.Expect(w.Lapse(250 * ms)).To(BeEmpty())
 	g.Expect(w.Lapse(251 * ms)).To(Equal([]string{"moved"}))
-	g.Expect(w.Renew("moved", 650*ms)).To(BeFalse())
+	g.Expect(w.Renew("moved", 600*ms)).To(BeFalse())
 	var placed []string
 	w.Place(251*ms, func(string) bool { return true }, func(_, name string) { placed = append(placed, name) })
 	g.Expect(placed).To(Equal([]string{"stays"}))
 	g.Expect(w.Len()).To(BeZero())
 }
+
+// Guards against a flow that is placed or refused here between the time at which its next SYN is due, which may have gone elsewhere, and the time at which it lapses.
+func TestFlowWhoseRenewalIsDueIsNotDecidedOn(t *testing.T) {
+	g := NewWithT(t)
+	w := NewWaiting[string, string]()
+	g.Expect(w.Add(0, "feed", "due", 200*ms, flow("due", 1, -time.Hour))).To(BeTrue())
+	place := func(now time.Duration) (placed []string) {
+		w.Place(now, func(string) bool { return true }, func(_, name string) { placed = append(placed, name) })
+		return placed
+	}
+	for now := 200 * ms; now <= 250*ms; now += 10 * ms {
+		g.Expect(w.Refuse(now)).To(BeEmpty())
+		g.Expect(place(now)).To(BeEmpty())
+		g.Expect(w.Lapse(now)).To(BeEmpty())
+	}
+	g.Expect(w.Renew("due", 600*ms)).To(BeTrue())
+	g.Expect(place(260 * ms)).To(Equal([]string{"due"}))
+}
--- a/core/pacing/waiting.go
+++ b/core/pacing/waiting.go
@@ -11,14 +11,18 @@
 	// rateWindow is the time over which the rate is measured at which the flows
 	// that wait for a service are placed. Nothing is refused before for its sake.
 	rateWindow = 300 * time.Millisecond
+	// MaxRenewalDelay is the longest time that a renewal is late. The caller may have
+	// gone on elsewhere if none has arrived by then.
+	MaxRenewalDelay = 50 * time.Millisecond
 )
 
 // Waiting holds the new flows that wait for room at the servers, by service. A
 // flow is identified by a key, and waits as long as it is renewed: the caller's
-// further packets may arrive elsewhere. It is not safe for concurrent use.
+// further packets may arrive elsewhere. While a renewal is due the flow is neither
+// placed nor refused. It is not safe for concurrent use.
 type Waiting[K comparable, T any] struct {
-	byService map[string]*serviceQueue[keyed[K, T]]
-	renewBy   map[K]time.Duration // of all flows that wait
+	byService  map[string]*serviceQueue[keyed[K, T]]
+	validUntil map[K]time.Duration // when the next renewal is due, of all flows that wait
 }
 
 type keyed[K comparable, T any] struct {
@@ -35,26 +39,26 @@
 
 // NewWaiting returns a Waiting without flows.
 func NewWaiting[K comparable, T any]() *Waiting[K, T] {
-	return &Waiting[K, T]{byService: make(map[string]*serviceQueue[keyed[K, T]]), renewBy: make(map[K]time.Duration)}
+	return &Waiting[K, T]{byService: make(map[string]*serviceQueue[keyed[K, T]]), validUntil: make(map[K]time.Duration)}
 }
 
 // Len returns the number of flows that wait.
-func (w *Waiting[K, T]) Len() int { return len(w.renewBy) }
+func (w *Waiting[K, T]) Len() int { return len(w.validUntil) }
 
-// Renew sets the time until which the flow with a key has to be renewed. It reports
+// Renew sets the time at which the next renewal of the flow with a key is due. It reports
 // false if the flow does not wait.
-func (w *Waiting[K, T]) Renew(key K, by time.Duration) bool {
-	if _, ok := w.renewBy[key]; !ok {
+func (w *Waiting[K, T]) Renew(key K, validUntil time.Duration) bool {
+	if _, ok := w.validUntil[key]; !ok {
 		return false
 	}
-	w.renewBy[key] = by
+	w.validUntil[key] = validUntil
 	return true
 }
 
-// Add lets a flow wait for a service, until the time by if it is not renewed. It
-// reports false if too many wait already.
-func (w *Waiting[K, T]) Add(now time.Duration, service string, key K, by time.Duration, f Flow[T]) bool {
-	if len(w.renewBy) >= maxWaiting {
+// Add lets a flow wait for a service. Its first renewal is due at validUntil. It reports
+// false if too many wait already.
+func (w *Waiting[K, T]) Add(now time.Duration, service string, key K, validUntil time.Duration, f Flow[T]) bool {
+	if len(w.validUntil) >= maxWaiting {
 		return false
 	}
 	q := w.byService[service]
@@ -66,21 +70,21 @@
 		q.measuredFrom, q.placed = now, 0
 	}
 	q.Add(Flow[keyed[K, T]]{keyed[K, T]{key, f.Value}, f.Priority, f.Opened, f.Target, f.Patience})
-	w.renewBy[key] = by
+	w.validUntil[key] = validUntil
 	return true
 }
 
 // Lapse removes and returns the flows that were not renewed in time.
 func (w *Waiting[K, T]) Lapse(now time.Duration) (lapsed []T) {
-	if len(w.renewBy) == 0 {
+	if len(w.validUntil) == 0 {
 		return nil
 	}
 	for _, q := range w.byService {
 		q.flows = slices.DeleteFunc(q.flows, func(f Flow[keyed[K, T]]) bool {
-			if now <= w.renewBy[f.Value.key] {
+			if now-w.validUntil[f.Value.key] <= MaxRenewalDelay {
 				return false
 			}
-			delete(w.renewBy, f.Value.key)
+			delete(w.validUntil, f.Value.key)
 			lapsed = append(lapsed, f.Value.value)
 			return true
 		})
@@ -91,28 +95,38 @@
 // Place removes flows in their order and passes them to place, as long as
 // hasRoom reports room for their service.
 func (w *Waiting[K, T]) Place(now time.Duration, hasRoom func(service string) bool, place func(service string, value T)) {
-	if len(w.renewBy) == 0 {
+	if len(w.validUntil) == 0 {
 		return
 	}
 	for service, q := range w.byService {
+		var due []Flow[keyed[K, T]]
 		for q.Len() > 0 && hasRoom(service) {
 			f, _ := q.Next(now)
+			if now >= w.validUntil[f.Value.key] {
+				due = append(due, f)
+				continue
+			}
 			q.placed++
-			delete(w.renewBy, f.Value.key)
+			delete(w.validUntil, f.Value.key)
 			place(service, f.Value.value)
 		}
+		q.flows = append(q.flows, due...)
 	}
 }
 
 // Refuse removes and returns the flows that cannot be placed in time: an early
 // refusal lets the caller try again while it still can.
 func (w *Waiting[K, T]) Refuse(now time.Duration) (refused []T) {
-	if len(w.renewBy) == 0 {
+	if len(w.validUntil) == 0 {
 		return nil
 	}
 	for _, q := range w.byService {
 		for _, f := range q.Refuse(now, q.rate(now)) {
-			delete(w.renewBy, f.Value.key)
+			if now >= w.validUntil[f.Value.key] {
+				q.Add(f)
+				continue
+			}
+			delete(w.validUntil, f.Value.key)
 			refused = append(refused, f.Value.value)
 		}
 		q.slide(now)
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"egrettack.example/core/pacing"
 	"egrettack.example/core/steer"
 )
 
@@ -117,17 +118,17 @@
 
 // retryHeld decides again on the held packets after the catalog has changed. Of
 // several copies of a SYN only the first counts: the others would go to further
-// servers. A SYN whose next copy did not come is dropped: its caller may have opened
-// the flow by way of another instance.
+// servers. A SYN whose next copy is due stays held, and is dropped when that does not
+// come: its caller may have opened the flow by way of another instance.
 func (i *Instance) retryHeld(now time.Duration) {
 	waiting := i.held.packets
 	i.held.packets = nil
 	i.updateInstances(now)
 	out := make([]byte, 0, readBuffer)
-	lastCopy := make(map[steer.Key]time.Duration) // by which the copy after the last one is due
+	validUntil := make(map[steer.Key]time.Duration) // of the last copy of each SYN
 	for _, h := range waiting {
 		if h.packet.SYN {
-			lastCopy[h.packet.Key()] = nextCopyBy(h.receivedAt, &h.packet)
+			validUntil[h.packet.Key()] = h.receivedAt + h.packet.ValidFor()
 		}
 	}
 	opened := make(map[steer.Key]bool)
@@ -137,10 +138,13 @@
 			continue
 		}
 		var v steer.Verdict
-		if h.packet.SYN && now > lastCopy[key] {
-			v = steer.Verdict{Action: steer.Drop, Reason: steer.NotRepeated}
-		} else {
+		switch overdue := now - validUntil[key]; {
+		case !h.packet.SYN || overdue < 0:
 			v = i.engine.DecideHeld(now, h.receivedAt, &h.packet)
+		case overdue <= pacing.MaxRenewalDelay:
+			v.Action = steer.Hold
+		default:
+			v = steer.Verdict{Action: steer.Drop, Reason: steer.NotRepeated}
 		}
 		if v.Action == steer.Hold {
 			i.held.packets = append(i.held.packets, h)
--- a/node/edge/waiting.go
+++ b/node/edge/waiting.go
@@ -7,17 +7,9 @@
 	"egrettack.example/core/steer"
 )
 
-const (
-	// synPatience is the time from a caller's first SYN after which it gives up the
-	// flow.
-	synPatience = 1400 * time.Millisecond
-	// copyDelay is the longest time that a copy of a SYN is late. Its caller may have
-	// gone on at another instance if it has not arrived by then.
-	copyDelay = 50 * time.Millisecond
-	// defaultTarget is the time within which callers want a response on routes that
-	// do not tell.
-	defaultTarget = 300 * time.Millisecond
-)
+// defaultTarget is the time within which callers want a response on routes that do not
+// tell.
+const defaultTarget = 300 * time.Millisecond
 
 // domainKnownAfter is the time without another instance of the own domain after which
 // all of them are taken to be known, when all of the fleet has started at once. New
@@ -41,23 +33,9 @@
 	i.engine.SetInstances(d.size, d.known)
 }
 
-// synAges are the times from a caller's first SYN to each copy of it.
-var synAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
-// nextCopyBy returns the time by which the next copy of a SYN arrives that has just
-// arrived, or by which its caller gives up.
-func nextCopyBy(now time.Duration, p *steer.Packet) time.Duration {
-	n := min(p.Retransmits, len(synAges)-1)
-	next := synPatience
-	if n+1 < len(synAges) {
-		next = synAges[n+1]
-	}
-	return now + next - synAges[n] + copyDelay
-}
-
 // isWaiting reports whether a packet is a copy of a SYN that waits for room.
 func (i *Instance) isWaiting(now time.Duration, p *steer.Packet) bool {
-	return p.SYN && i.waiting.Renew(p.Key(), nextCopyBy(now, p))
+	return p.SYN && p.ValidFor() > 0 && i.waiting.Renew(p.Key(), now+p.ValidFor())
 }
 
 // queueFlow lets a SYN wait until the servers of a service have room. It reports
@@ -65,8 +43,8 @@
 func (i *Instance) queueFlow(now time.Duration, service string, data []byte, p *steer.Packet) bool {
 	f := pacing.Flow[heldPacket]{
 		Value:  heldPacket{now, append([]byte(nil), data...), *p},
-		Opened: now - synAges[min(p.Retransmits, len(synAges)-1)],
-		Target: defaultTarget, Patience: synPatience,
+		Opened: now - p.SinceFirstSYN(),
+		Target: defaultTarget, Patience: steer.SYNPatience,
 	}
 	if r := i.catalog.Route(p.Dest); r != nil {
 		f.Priority = r.Priority
@@ -77,7 +55,7 @@
 			f.Patience = min(f.Patience, r.Timeout)
 		}
 	}
-	return i.waiting.Add(now, service, p.Key(), nextCopyBy(now, p), f)
+	return i.waiting.Add(now, service, p.Key(), now+p.ValidFor(), f)
 }
 
 // placeWaiting places flows that wait, as far as there is room. Those that may have
--- a/node/edge/waiting_test.go
+++ b/node/edge/waiting_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"egrettack.example/core/pacing"
 	"egrettack.example/core/steer"
 )
 
@@ -58,11 +59,11 @@
 	i := newIdleInstance(newBootClock(), nil)
 	i.packets = fakePackets{}
 	p := steer.Packet{SYN: true}
-	g.Expect(nextCopyBy(0, &p)).To(Equal(200*time.Millisecond + copyDelay))
+	g.Expect(p.ValidFor()).To(Equal(200 * time.Millisecond))
 	p.Retransmits = 1
-	g.Expect(nextCopyBy(200*time.Millisecond, &p)).To(Equal(600*time.Millisecond + copyDelay))
+	g.Expect(200*time.Millisecond + p.ValidFor()).To(Equal(600 * time.Millisecond))
 	p.Retransmits = 2
-	g.Expect(nextCopyBy(600*time.Millisecond, &p)).To(Equal(synPatience + copyDelay))
+	g.Expect(600*time.Millisecond + p.ValidFor()).To(Equal(steer.SYNPatience))
 	p.Retransmits = 0
 	g.Expect(i.queueFlow(0, "feed", nil, &p)).To(BeTrue())
 	p.Retransmits = 1
@@ -80,7 +81,7 @@
 			l.store.setError(errStoreAway)
 			i := l.start(1, l.store)
 			l.sendPacket(1, "SYN")
-			time.Sleep(nextCopyBy(0, &steer.Packet{}) + 2*tickInterval)
+			time.Sleep((&steer.Packet{}).ValidFor() + pacing.MaxRenewalDelay + 2*tickInterval)
 			l.store.setError(nil)
 			l.Eventually(func() int { return l.readyStatus(1) }, "3s").Should(Equal(http.StatusOK))
 			l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
