Take a SYN of a flow that opened elsewhere for a duplicate

Cause: an entry that was made from packets of an open flow has no SYN, so any SYN counted as that of a new flow.

Change: a SYN within the sequence numbers of the open flow is a copy of the SYN that opened it.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -282,3 +282,16 @@
 		}
 	}
 }
+
+// Guards against placing a SYN of a flow that opened by way of another instance, whose packets already arrive here: the second answer would move them to a server that does not hold it.
+func TestSYNOfAFlowThatOpenedElsewhereIsDropped(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.serverByID(1))
+	l.request(f, 101, 1)
+	v := l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, SYN: true, Seq: 100, Retransmits: 1})
+	l.Expect(v.Action).To(Equal(Drop))
+	l.Expect(v.Reason).To(Equal(Duplicate))
+	l.Expect(l.request(f, 151, 1).Server.ID).To(Equal(catalog.ServerID(1)))
+	v = l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, SYN: true, Seq: 1 << 30})
+	l.Expect(v.Action).To(Equal(Forward), "the caller uses its port again")
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -96,7 +96,8 @@
 func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route, service string) Verdict {
 	key := p.Key()
 	f := e.flows[key]
-	if f != nil && f.synSeq == p.Seq && f.established {
+	if f != nil && f.established && (f.synSeq == p.Seq || f.covers(p.Seq)) {
+		// The flow is open, perhaps by way of another instance.
 		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
 	}
 	if f != nil && f.synSeq != p.Seq {
