--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -81,6 +81,7 @@
 	clock    clock
 	metrics  *metrics
 	socket   *net.UDPConn
+	reader   *packetReader                                    // of socket
 	slowLink bool                                             // see isSlowLink
 	linkRate float64                                          // of the link, bytes per second
 	random   *rand.Rand                                       // jitter of the store reads
@@ -117,6 +118,9 @@
 		i.log.Warn("receive buffer size not set", "bytes", socketBuffer, "error", err)
 	}
 	i.socket = conn
+	if i.reader, err = newPacketReader(conn, i.clock); err != nil {
+		return nil, err
+	}
 	return i, i.openPeers()
 }
 
@@ -213,6 +217,9 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
+		if err := i.reader.checkEmpty(); err != nil && ctx.Err() == nil {
+			i.log.Warn("age of packets not known", "error", err)
+		}
 		i.contain("housekeeping", i.doHousekeeping)
 		select {
 		case <-ctx.Done():
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -37,12 +37,8 @@
 
 // receivePackets handles packets until ctx is done.
 func (i *Instance) receivePackets(ctx context.Context) error {
-	r, err := newPacketReader(i.socket, i.clock)
-	if err != nil {
-		return err
-	}
 	out := make([]byte, 0, readBuffer)
-	return i.receive(ctx, i.socket, "packet", r.read, func(datagram []byte) { i.handlePacket(r.emptyAt, datagram, out) })
+	return i.receive(ctx, i.socket, "packet", i.reader.read, func(datagram []byte) { i.handlePacket(i.reader.after, datagram, out) })
 }
 
 // handlePacket decides on one packet, which arrived after the given time, and executes
--- a/node/edge/receive.go
+++ b/node/edge/receive.go
@@ -3,25 +3,21 @@
 import (
 	"errors"
 	"net"
-	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 )
 
-// emptyCheckInterval is the time after which a reader that waits for a datagram looks
-// again whether one has arrived. It is short against the 200 ms until a caller sends a
-// copy of its SYN.
-const emptyCheckInterval = 50 * time.Millisecond
-
 // packetReader reads the packets of callers from a socket, and tells how long they may
 // have waited there: while the process stood still or was slow, the kernel has kept them.
 type packetReader struct {
 	conn    *net.UDPConn
 	raw     syscall.RawConn
 	clock   clock
-	emptyAt time.Duration // last time at which no packet was waiting
+	emptyAt atomic.Int64  // last time at which no packet was waiting, nanoseconds
+	after   time.Duration // the last packet arrived after this time
 }
 
 func newPacketReader(conn *net.UDPConn, clk clock) (*packetReader, error) {
@@ -29,42 +25,43 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "access the packet socket %s", conn.LocalAddr())
 	}
-	r := &packetReader{conn: conn, raw: raw, clock: clk}
-	return r, r.setWait()
-}
-
-// setWait limits the next wait for a packet.
-func (r *packetReader) setWait() error {
-	return trace.Wrap(r.conn.SetReadDeadline(time.Now().Add(emptyCheckInterval)), "limit the wait for packets on %s", r.conn.LocalAddr())
+	return &packetReader{conn: conn, raw: raw, clock: clk}, nil
 }
 
-// read reads the next packet into b. It arrived after emptyAt.
+// read reads the next packet into b.
 func (r *packetReader) read(b []byte) (n int, err error) {
-	for {
-		waitErr := r.raw.Read(func(fd uintptr) bool {
-			at := r.clock.now()
-			for {
-				n, err = syscall.Read(int(fd), b)
-				if !errors.Is(err, syscall.EINTR) {
-					break
-				}
-			}
-			if errors.Is(err, syscall.EAGAIN) {
-				r.emptyAt = at
-				return false
+	waitErr := r.raw.Read(func(fd uintptr) bool {
+		// Taken before the packet, since checkEmpty may run right after that.
+		r.after = time.Duration(r.emptyAt.Load())
+		at := r.clock.now()
+		for {
+			n, err = syscall.Read(int(fd), b)
+			if !errors.Is(err, syscall.EINTR) {
+				break
 			}
-			return true
-		})
-		switch {
-		case waitErr == nil && err != nil:
-			return 0, trace.Wrap(err, "read a packet from %s", r.conn.LocalAddr())
-		case waitErr == nil:
-			return n, nil
-		case !errors.Is(waitErr, os.ErrDeadlineExceeded):
-			return 0, waitErr
 		}
-		if err := r.setWait(); err != nil {
-			return 0, err
+		if errors.Is(err, syscall.EAGAIN) {
+			r.emptyAt.Store(int64(at))
+			return false
 		}
+		return true
+	})
+	if waitErr != nil {
+		return 0, waitErr
 	}
+	return n, trace.Wrap(err, "read a packet from %s", r.conn.LocalAddr())
+}
+
+// checkEmpty looks whether a packet is waiting. It may run beside read, which notices only
+// the packets that come.
+func (r *packetReader) checkEmpty() error {
+	at := r.clock.now()
+	err := r.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EAGAIN) {
+			r.emptyAt.Store(int64(at))
+		}
+	})
+	return trace.Wrap(err, "check the packet socket %s", r.conn.LocalAddr())
 }
--- a/node/edge/receive_test.go
+++ b/node/edge/receive_test.go
@@ -33,24 +33,28 @@
 	read := func() (string, time.Duration) {
 		n, err := r.read(b)
 		g.Expect(err).NotTo(HaveOccurred())
-		return string(b[:n]), clk.now() - r.emptyAt
+		return string(b[:n]), clk.now() - r.after
 	}
 	send("first")
 	read()
-	// The reader waits for longer than emptyCheckInterval, the packet does not.
+	// The reader waits for long, the packet does not.
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		time.Sleep(20 * emptyCheckInterval)
+		for range 10 {
+			time.Sleep(tickInterval)
+			g.Expect(r.checkEmpty()).To(Succeed())
+		}
 		send("fresh")
 	})
 	text, age := read()
 	wg.Wait()
 	g.Expect(text).To(Equal("fresh"))
-	g.Expect(age).To(BeNumerically("<", 10*emptyCheckInterval))
+	g.Expect(age).To(BeNumerically("<", 5*tickInterval))
 	// Nothing reads for a while.
 	send("old")
 	sent := clk.now()
-	time.Sleep(10 * emptyCheckInterval)
+	time.Sleep(5 * tickInterval)
+	g.Expect(r.checkEmpty()).To(Succeed())
 	text, age = read()
 	g.Expect(text).To(Equal("old"))
 	g.Expect(age).To(BeNumerically(">=", clk.now()-sent-time.Millisecond))
--- a/node/edge/waiting_test.go
+++ b/node/edge/waiting_test.go
@@ -97,7 +97,7 @@
 	l.Eventually(func() int { return l.readyStatus(1) }).Should(Equal(http.StatusOK))
 	i.mu.Lock()
 	l.sendPacket(1, "SYN")
-	time.Sleep((&steer.Packet{}).ValidFor() + emptyCheckInterval)
+	time.Sleep((&steer.Packet{}).ValidFor() + tickInterval)
 	i.mu.Unlock()
 	l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
 	l.Eventually(i.log.String).Should(MatchRegexp(`action=drop reason=late .*packet_age=`))
