Bound the age of packets by what the socket can hold

Cause: the age counted from the last time at which the socket was empty, and grew without end.

Change: a packet also arrived after the read of the packet that was as many before it as the socket can hold at most. The reader keeps 17 times of reads, spread over that many. It no longer allocates for each packet.

--- a/node/edge/receive.go
+++ b/node/edge/receive.go
@@ -10,14 +10,37 @@
 	"github.com/gravitational/trace"
 )
 
+const (
+	// minPacketMemory is less than what the kernel counts for a datagram of any size
+	// against the size of the socket's buffer, in bytes.
+	minPacketMemory = 512
+	// readMarks is the number of reads whose times are kept, spread evenly over the last
+	// reads of as many packets as the socket can hold.
+	readMarks = 16
+)
+
 // packetReader reads the packets of callers from a socket, and tells how long they may
 // have waited there: while the process stood still or was slow, the kernel has kept them.
+// A packet arrived after the last time at which the socket was empty, and after the read
+// of the packet that was as many packets before it as the socket can hold.
 type packetReader struct {
 	conn    *net.UDPConn
 	raw     syscall.RawConn
 	clock   clock
 	emptyAt atomic.Int64  // last time at which no packet was waiting, nanoseconds
 	after   time.Duration // the last packet arrived after this time
+
+	marks       [readMarks + 1]time.Duration // a ring of times of reads, markSpacing reads apart
+	oldestMark  int
+	markSpacing int
+	reads       int
+
+	// tryRead is called while the socket is readable. The fields below are its argument
+	// and its result.
+	tryRead func(fd uintptr) bool
+	buffer  []byte
+	n       int
+	err     error
 }
 
 func newPacketReader(conn *net.UDPConn, clk clock) (*packetReader, error) {
@@ -25,31 +48,56 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "access the packet socket %s", conn.LocalAddr())
 	}
-	return &packetReader{conn: conn, raw: raw, clock: clk}, nil
+	size, sizeErr := 0, error(nil)
+	if err := raw.Control(func(fd uintptr) {
+		size, sizeErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+	}); err != nil || sizeErr != nil {
+		return nil, trace.Wrap(errors.Join(err, sizeErr), "read the buffer size of the packet socket %s", conn.LocalAddr())
+	}
+	// Without a size that tells, the socket holds what was asked for.
+	capacity := max(size, socketBuffer) / minPacketMemory
+	r := &packetReader{conn: conn, raw: raw, clock: clk, markSpacing: capacity/readMarks + 1}
+	r.tryRead = r.readOnce
+	return r, nil
 }
 
 // read reads the next packet into b.
 func (r *packetReader) read(b []byte) (n int, err error) {
-	waitErr := r.raw.Read(func(fd uintptr) bool {
-		// Taken before the packet, since checkEmpty may run right after that.
-		r.after = time.Duration(r.emptyAt.Load())
-		at := r.clock.now()
-		for {
-			n, err = syscall.Read(int(fd), b)
-			if !errors.Is(err, syscall.EINTR) {
-				break
-			}
-		}
-		if errors.Is(err, syscall.EAGAIN) {
-			r.emptyAt.Store(int64(at))
-			return false
+	r.buffer = b
+	if err := r.raw.Read(r.tryRead); err != nil {
+		return 0, err
+	}
+	return r.n, trace.Wrap(r.err, "read a packet from %s", r.conn.LocalAddr())
+}
+
+// readOnce reads a packet. It reports false if none is waiting.
+func (r *packetReader) readOnce(fd uintptr) bool {
+	// Taken before the packet, since checkEmpty may run right after that.
+	emptyAt := time.Duration(r.emptyAt.Load())
+	at := r.clock.now()
+	for {
+		r.n, r.err = syscall.Read(int(fd), r.buffer)
+		if !errors.Is(r.err, syscall.EINTR) {
+			break
 		}
-		return true
-	})
-	if waitErr != nil {
-		return 0, waitErr
 	}
-	return n, trace.Wrap(err, "read a packet from %s", r.conn.LocalAddr())
+	if errors.Is(r.err, syscall.EAGAIN) {
+		r.emptyAt.Store(int64(at))
+		return false
+	}
+	r.after = max(emptyAt, r.mark(at))
+	return true
+}
+
+// mark notes the time of a read. It returns the time of one that was as many packets ago
+// as the socket can hold, 0 if there were fewer.
+func (r *packetReader) mark(at time.Duration) time.Duration {
+	if r.reads%r.markSpacing == 0 {
+		r.marks[r.oldestMark] = at
+		r.oldestMark = (r.oldestMark + 1) % len(r.marks)
+	}
+	r.reads++
+	return r.marks[r.oldestMark]
 }
 
 // checkEmpty looks whether a packet is waiting. It may run beside read, which notices only
