Read the clock of a decision after the wait for the instance's lock

Found by the reviewer of the fix: housekeeping, messages of peers and their answers read the clock, waited for the lock, and decided by the earlier time. A SYN that waited for room was placed 1 s late when the process stood still in between. The time at which a peer's message is received stays the earlier one, since what it tells is at least that old.

TestHousekeepingPlacesNoSYNByAnOldTime fails before.

--- a/node/edge/answer.go
+++ b/node/edge/answer.go
@@ -107,9 +107,9 @@
 // changesSince returns the changes that a peer does not have, nil while the
 // catalog is not complete, and the position that they lead to.
 func (i *Instance) changesSince(p sinceParams) (*wire.Change, position) {
-	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock.now()
 	if !i.catalog.Complete() {
 		return nil, i.position()
 	}
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -236,9 +236,9 @@
 		i.log.Warn("the machine was suspended", "for", slept)
 	}
 	i.dropReply()
-	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock.now()
 	i.updateInstances(now)
 	i.checkOutliers(now)
 	i.catalog.Expire(now)
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -92,9 +92,10 @@
 		i.log.Debug("peer message skipped", "peer", from, "error", err)
 		return
 	}
-	now := i.clock.now()
+	received := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock.now()
 	if m.Kind == wire.Leave {
 		i.peers.fleet.Remove(from)
 		i.updateSource(now)
@@ -124,7 +125,7 @@
 		i.sendUpdate(now, from, updateSampleSize)
 		i.askFollower(now, from, m)
 	case wire.Update:
-		i.handleUpdate(ctx, now, from, m)
+		i.handleUpdate(ctx, now, received, from, m)
 		i.informSource(now, from)
 	case wire.OutlierReport:
 		i.handleOutlierReport(now, from, m)
@@ -133,10 +134,10 @@
 
 // handleUpdate applies the update of a peer. A change that is too large for a
 // datagram, or follows one that was lost, is pulled.
-func (i *Instance) handleUpdate(ctx context.Context, now time.Duration, from netip.Addr, m *wire.Message) {
+func (i *Instance) handleUpdate(ctx context.Context, now, received time.Duration, from netip.Addr, m *wire.Message) {
 	// Earliest time at which the message can have been sent, however long it took
 	// to arrive.
-	sent := min(now, m.SentAt+m.SubscribeAge.Duration())
+	sent := min(received, m.SentAt+m.SubscribeAge.Duration())
 	at := sent - m.Age.Duration()
 	if c := m.Change; c != nil && c.Change != nil && i.catalog.Loaded() && i.follows(c) {
 		if i.applyChange(now, at, m.StoreHealthyFor.Duration(), c.Change, from.String()) {
@@ -186,9 +187,9 @@
 		i.log.Info("changes not pulled", "peer", from, "error", err)
 		return
 	}
-	now := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock.now()
 	if !c.Change.Full && !i.follows(c) {
 		return
 	}
--- a/node/edge/waiting_test.go
+++ b/node/edge/waiting_test.go
@@ -104,3 +104,25 @@
 	l.sendPacket(1, "SYN")
 	l.Expect(l.receive(time.Second)).To(Equal("host-1 SYN"))
 }
+
+// Guards against placing a SYN that waits for room by the time before a wait for the instance's lock, in which its next copy became due.
+func TestHousekeepingPlacesNoSYNByAnOldTime(t *testing.T) {
+	l := newHarness(t)
+	i := newIdleInstance(newBootClock(), nil)
+	i.packets, i.socket = l.packets, listenLoopback(t)
+	now := i.clock.now()
+	i.catalog.Apply(now, now, 0, l.store.state)
+	i.engine.SetInstances(1, true)
+	p := steer.Packet{SYN: true, Caller: l.dest, Dest: l.dest, Seq: 7}
+	i.mu.Lock()
+	l.Expect(i.queueFlow(i.clock.now(), "feed", []byte("SYN"), &p)).To(BeTrue())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		i.doHousekeeping()
+	}()
+	time.Sleep(p.ValidFor() + tickInterval)
+	i.mu.Unlock()
+	<-done
+	l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
+}
