--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -29,7 +29,7 @@
 	allInstancesKnown bool
 	spills            map[string]*spillWindow // by service
 	residences        map[string]*residence   // by service
-	suspects          map[Key]*suspect
+	orphans           map[Key]*orphan
 
 	profiles      map[netip.AddrPort]*outlier.ResponseProfile // by destination
 	lastDetection time.Duration                               // last run of detectOutliers
@@ -48,7 +48,7 @@
 		profiles: make(map[netip.AddrPort]*outlier.ResponseProfile),
 
 		residences: make(map[string]*residence),
-		suspects:   make(map[Key]*suspect),
+		orphans:    make(map[Key]*orphan),
 
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
 	}
@@ -117,7 +117,7 @@
 	case s == nil:
 		return Verdict{Action: Reset, Reason: NoServer}
 	}
-	delete(e.suspects, key)
+	delete(e.orphans, key)
 	if f == nil {
 		f = &flowEntry{synSeq: p.Seq, nextSeq: p.Seq + 1}
 		e.flows[key] = f
@@ -164,7 +164,7 @@
 	if presence, ended := e.hasEnded(s); ended {
 		return e.deliverToEnded(now, p, f, s, presence)
 	}
-	delete(e.suspects, key)
+	delete(e.orphans, key)
 	return Verdict{Action: Forward, Reason: Token, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
 }
 
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -261,7 +261,7 @@
 		e.expireRequest(now, k.Dest, f)
 	}
 	e.sweepQueue = e.sweepQueue[n:]
-	e.expireSuspects(now)
+	e.expireOrphans(now)
 	for s, st := range e.states {
 		if st.openFlows == 0 && !e.catalog.Active(s) {
 			delete(e.states, s)
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -99,7 +99,7 @@
 	l.Expect(l.request(f, 101, 1).Action).To(Equal(Drop), "the store was not read since the packet arrived")
 	l.now += 100 * time.Millisecond
 	l.catalog.Confirm(l.now, catalog.Position{Revision: 21})
-	over := l.engine.TakeOverFlows(l.now)
+	over := l.engine.TakeEndedFlows(l.now)
 	l.Expect(over).To(HaveLen(1))
 	l.Expect(over[0].Packet.Key()).To(Equal(f.Key()))
 	l.Expect(over[0].Verdict.Action).To(Equal(Reset))
@@ -189,7 +189,7 @@
 		for _, pause := range []time.Duration{0, 200, 400} {
 			l.now += pause * time.Millisecond
 			l.Expect(l.request(f, 101, 1).Action).NotTo(Equal(Reset))
-			l.Expect(l.engine.TakeOverFlows(l.now)).To(BeEmpty())
+			l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
 		}
 		restarted := *s
 		restarted.Started, restarted.Revision, restarted.Draining = 2, 13, false
@@ -197,7 +197,7 @@
 			restarted.Addr = netip.MustParseAddrPort("10.0.0.9:80")
 		}
 		l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{Revision: 13, Servers: []catalog.Server{restarted}})
-		l.Expect(l.engine.TakeOverFlows(l.now)).To(BeEmpty())
+		l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
 		v := l.request(f, 101, 1)
 		l.Expect(v.Action).To(Equal(Forward))
 		l.Expect(v.Server.Addr).To(Equal(restarted.Addr))
@@ -212,6 +212,6 @@
 		l.Expect(l.request(f, seq, 1).Action).To(Equal(Forward))
 		l.now += 300 * time.Millisecond
 		l.catalog.Confirm(l.now, l.catalog.Position())
-		l.Expect(l.engine.TakeOverFlows(l.now)).To(BeEmpty())
+		l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
 	}
 }
--- a/core/steer/suspect.go
+++ b/core/steer/orphan.go
@@ -11,16 +11,16 @@
 	// shows that there was no response. Copies that are read closer together have waited
 	// in the socket. Callers send the first copy after 200 ms.
 	minRetransmitGap = 100 * time.Millisecond
-	// suspectTimeout is the time without a packet after which the caller has given up
+	// orphanTimeout is the time without a packet after which the caller has given up
 	// the flow: retransmissions are at most 1.6 s apart.
-	suspectTimeout = 2 * time.Second
+	orphanTimeout = 2 * time.Second
 )
 
-// suspect is an open flow whose server has ended, as far as the catalog tells. The
+// orphan is an open flow whose server has ended, as far as the catalog tells. The
 // server may have started again since the catalog was current, and hold the flow: what
 // was known when a packet arrived is no reason for a reset. It takes a read of the store
 // that began after the packet had arrived, and still shows the end.
-type suspect struct {
+type orphan struct {
 	server   *catalog.Server
 	since    time.Duration // arrival of the first packet that has got no response
 	lastSeen time.Duration // arrival of the last packet
@@ -37,15 +37,15 @@
 	key := p.Key()
 	v := Verdict{Action: Forward, Reason: ServerGone, Server: s, Presence: presence}
 	if p.RST {
-		delete(e.suspects, key)
+		delete(e.orphans, key)
 		e.removeFlowByKey(key)
 		v.Action = Drop
 		return v
 	}
-	x := e.suspects[key]
+	x := e.orphans[key]
 	if x == nil || x.server != s || x.ack != p.Ack {
-		x = &suspect{server: s, since: now, ack: p.Ack}
-		e.suspects[key] = x
+		x = &orphan{server: s, since: now, ack: p.Ack}
+		e.orphans[key] = x
 	}
 	x.lastSeen = now
 	if presence == catalog.AddressTaken {
@@ -55,41 +55,41 @@
 		x.unanswered = x.unanswered || repeated && now-x.since >= minRetransmitGap
 		v.ResponseTime = e.observePacket(now, key, f, s, p)
 	}
-	if e.isOver(x, presence) {
-		delete(e.suspects, key)
+	if e.hasNoServer(x, presence) {
+		delete(e.orphans, key)
 		e.removeFlowByKey(key)
 		v.Action = Reset
 	}
 	return v
 }
 
-// isOver reports whether the flow of a suspect has no server any more: the store was
+// hasNoServer reports whether the flow of an orphan has no server any more: the store was
 // read after the flow's packet had arrived, and the server has lost its address or has
 // left the packet unanswered.
-func (e *Engine) isOver(x *suspect, presence catalog.Presence) bool {
+func (e *Engine) hasNoServer(x *orphan, presence catalog.Presence) bool {
 	return e.catalog.AbsenceConfirmed(x.since) && (presence == catalog.AddressTaken || x.unanswered)
 }
 
-// OverFlow is an open flow that is to be reset, for its server has ended.
-type OverFlow struct {
+// EndedFlow is an open flow that is to be reset, for its server has ended.
+type EndedFlow struct {
 	Packet  Packet        // the flow's addresses and the last acknowledgement of the caller
 	Verdict Verdict       // the reset
 	Waited  time.Duration // since the first packet without a response
 }
 
-// TakeOverFlows returns the flows that a read of the store has shown to be over, and
+// TakeEndedFlows returns the flows that a read of the store has shown to be over, and
 // forgets them. It is called after each update of the catalog.
-func (e *Engine) TakeOverFlows(now time.Duration) []OverFlow {
-	var over []OverFlow
-	for key, x := range e.suspects {
+func (e *Engine) TakeEndedFlows(now time.Duration) []EndedFlow {
+	var over []EndedFlow
+	for key, x := range e.orphans {
 		presence, ended := e.hasEnded(x.server)
 		switch {
 		case !ended || e.catalog.Latest(x.server) != x.server:
-			delete(e.suspects, key)
-		case e.isOver(x, presence):
-			delete(e.suspects, key)
+			delete(e.orphans, key)
+		case e.hasNoServer(x, presence):
+			delete(e.orphans, key)
 			e.removeFlowByKey(key)
-			over = append(over, OverFlow{
+			over = append(over, EndedFlow{
 				Packet:  Packet{Caller: key.Caller, Dest: key.Dest, ACK: true, Ack: x.ack, Token: x.server.Token},
 				Verdict: Verdict{Action: Reset, Reason: ServerGone, Server: x.server, Presence: presence},
 				Waited:  now - x.since,
@@ -99,11 +99,11 @@
 	return over
 }
 
-// expireSuspects forgets the flows whose callers have given up.
-func (e *Engine) expireSuspects(now time.Duration) {
-	for key, x := range e.suspects {
-		if now-x.lastSeen > suspectTimeout {
-			delete(e.suspects, key)
+// expireOrphans forgets the flows whose callers have given up.
+func (e *Engine) expireOrphans(now time.Duration) {
+	for key, x := range e.orphans {
+		if now-x.lastSeen > orphanTimeout {
+			delete(e.orphans, key)
 		}
 	}
 }
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -290,7 +290,7 @@
 // reactToUpdate does what an update of the catalog allows: it resets flows that are over,
 // decides again on held packets and updates the followers.
 func (i *Instance) reactToUpdate(now time.Duration) {
-	i.resetOverFlows(now)
+	i.resetEndedFlows(now)
 	i.retryHeld(now)
 	i.updateFollowers(now)
 }
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -104,10 +104,10 @@
 	i.held.packets = append(i.held.packets, heldPacket{now, append([]byte(nil), data...), *p})
 }
 
-// resetOverFlows resets the open flows that a read of the store has shown to be over.
-func (i *Instance) resetOverFlows(now time.Duration) {
+// resetEndedFlows resets the open flows that a read of the store has shown to be over.
+func (i *Instance) resetEndedFlows(now time.Duration) {
 	out := make([]byte, 0, readBuffer)
-	for _, f := range i.engine.TakeOverFlows(now) {
+	for _, f := range i.engine.TakeEndedFlows(now) {
 		i.execute(now, f.Waited, f.Verdict, &f.Packet, nil, out)
 	}
 }
