Include a suspend of the machine in the times that decisions compare

Found by the reviewer of the fix: the clock includes a suspend only after the next housekeeping, up to 100 ms after the resume. In between a SYN that had waited in the socket for an hour counted as new and was placed, and a message of a peer, sent during the suspend, counted as newer than a packet that had arrived after it.

Change: the clock is adjusted before a decision on a SYN, before a packet is held or its flow is an orphan, before messages of peers are handled or answered, and after reads of the store.

TestSuspendCountsBeforeTheNextHousekeeping fails before.

--- a/core/steer/orphan.go
+++ b/core/steer/orphan.go
@@ -77,28 +77,32 @@
 	Waited  time.Duration // since the first packet without a response
 }
 
-// TakeEndedFlows returns the flows that a read of the store has shown to be over, and
+// TakeEndedFlows returns the flows that a read of the store has shown to have ended, and
 // forgets them. It is called after each update of the catalog.
 func (e *Engine) TakeEndedFlows(now time.Duration) []EndedFlow {
-	var over []EndedFlow
+	var ended []EndedFlow
 	for key, x := range e.orphans {
-		presence, ended := e.hasEnded(x.server)
+		presence, serverEnded := e.hasEnded(x.server)
 		switch {
-		case !ended || e.catalog.Latest(x.server) != x.server:
+		case !serverEnded || e.catalog.Latest(x.server) != x.server:
 			delete(e.orphans, key)
 		case e.hasNoServer(x, presence):
 			delete(e.orphans, key)
 			e.removeFlowByKey(key)
-			over = append(over, EndedFlow{
+			ended = append(ended, EndedFlow{
 				Packet:  Packet{Caller: key.Caller, Dest: key.Dest, ACK: true, Ack: x.ack, Token: x.server.Token},
 				Verdict: Verdict{Action: Reset, Reason: ServerGone, Server: x.server, Presence: presence},
 				Waited:  now - x.since,
 			})
 		}
 	}
-	return over
+	return ended
 }
 
+// ForgetOrphans forgets the times at which packets of such flows arrived. It is called
+// after a suspend of the machine, which these times may lack.
+func (e *Engine) ForgetOrphans() { clear(e.orphans) }
+
 // expireOrphans forgets the flows whose callers have given up.
 func (e *Engine) expireOrphans(now time.Duration) {
 	for key, x := range e.orphans {
--- a/node/edge/answer.go
+++ b/node/edge/answer.go
@@ -109,7 +109,7 @@
 func (i *Instance) changesSince(p sinceParams) (*wire.Change, position) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.clock.now()
+	now := i.adjustedTime()
 	if !i.catalog.Complete() {
 		return nil, i.position()
 	}
--- a/node/edge/follow.go
+++ b/node/edge/follow.go
@@ -167,7 +167,7 @@
 	i.mu.Lock()
 	current := i.catalog.Confirm(at, pos)
 	if current {
-		now := i.clock.now()
+		now := i.adjustedTime()
 		i.reactToUpdate(now)
 		i.informSource(now, netip.Addr{})
 	}
@@ -252,7 +252,7 @@
 	if !last {
 		at = i.catalog.AsOf()
 	}
-	now := i.clock.now()
+	now := i.adjustedTime()
 	ch.FromStore = true
 	i.applyChange(now, at, 0, ch, sourceName(netip.Addr{}))
 	i.informSource(now, netip.Addr{})
@@ -287,8 +287,8 @@
 	return true
 }
 
-// reactToUpdate does what an update of the catalog allows: it resets flows that are over,
-// decides again on held packets and updates the followers.
+// reactToUpdate does what an update of the catalog allows: it resets flows that have
+// ended, decides again on held packets and updates the followers.
 func (i *Instance) reactToUpdate(now time.Duration) {
 	i.resetEndedFlows(now)
 	i.retryHeld(now)
--- a/node/edge/follow_test.go
+++ b/node/edge/follow_test.go
@@ -89,3 +89,32 @@
 	})
 	g.Expect(published).To(ConsistOf(catalog.ServerID(3)))
 }
+
+// suspendedClock is a manualClock that includes a suspend of the machine only when it is adjusted.
+type suspendedClock struct {
+	manualClock
+	slept time.Duration
+}
+
+func (c *suspendedClock) adjust() (slept time.Duration) {
+	slept, c.slept = c.slept, 0
+	c.time += slept
+	return slept
+}
+
+// Guards against deciding, right after a suspend, by times that lack it: on a SYN that waited meanwhile, and on a packet that a message from before the resume would be newer than.
+func TestSuspendCountsBeforeTheNextHousekeeping(t *testing.T) {
+	l := newHarness(t)
+	clk := &suspendedClock{manualClock: manualClock{time: time.Second}}
+	i := newIdleInstance(clk, l.store)
+	i.packets, i.socket = l.packets, l.server
+	l.Expect(i.read(context.Background())).To(Succeed())
+	clk.slept = time.Hour
+	i.handlePacket(clk.time, []byte("SYN"), nil)
+	l.Expect(l.receive(50 * time.Millisecond)).To(BeEmpty())
+	clk.slept = time.Hour
+	before := clk.time
+	i.handlePacket(clk.time, []byte("12345 ab"), nil)
+	l.Expect(i.held.packets).To(HaveLen(1))
+	l.Expect(i.held.packets[0].receivedAt).To(Equal(before + time.Hour))
+}
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -229,16 +229,23 @@
 	}
 }
 
-// doHousekeeping checks for outliers among the servers, expires servers and held
-// packets, and sends the messages that are due to peers.
-func (i *Instance) doHousekeeping() {
+// adjustedTime returns the time, with any suspend of the machine up to now included. What
+// compares a time of before a suspend with one of after it uses this. The caller holds mu.
+func (i *Instance) adjustedTime() time.Duration {
 	if slept := i.clock.adjust(); slept > 0 {
 		i.log.Warn("the machine was suspended", "for", slept)
+		i.engine.ForgetOrphans()
 	}
+	return i.clock.now()
+}
+
+// doHousekeeping checks for outliers among the servers, expires servers and held
+// packets, and sends the messages that are due to peers.
+func (i *Instance) doHousekeeping() {
 	i.dropReply()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.clock.now()
+	now := i.adjustedTime()
 	i.updateInstances(now)
 	i.checkOutliers(now)
 	i.catalog.Expire(now)
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -53,12 +53,22 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.clock.now()
+	if p.SYN {
+		now = i.adjustedTime()
+	}
 	p.Age = now - arrivedAfter
 	i.state.lastPacket = now
 	if i.isWaiting(now, &p) {
 		return
 	}
 	v := i.engine.Decide(now, &p)
+	if !p.SYN && (v.Action == steer.Hold || v.Reason == steer.ServerGone) {
+		// Later knowledge will be compared with the time of this packet.
+		if adjusted := i.adjustedTime(); adjusted-now > minSuspend {
+			now = adjusted
+			v = i.engine.Decide(now, &p)
+		}
+	}
 	if v.ResponseTime > 0 {
 		i.metrics.requests.Observe(v.ResponseTime.Seconds())
 	}
@@ -104,7 +114,7 @@
 	i.held.packets = append(i.held.packets, heldPacket{now, append([]byte(nil), data...), *p})
 }
 
-// resetEndedFlows resets the open flows that a read of the store has shown to be over.
+// resetEndedFlows resets the open flows that a read of the store has shown to have ended.
 func (i *Instance) resetEndedFlows(now time.Duration) {
 	out := make([]byte, 0, readBuffer)
 	for _, f := range i.engine.TakeEndedFlows(now) {
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -95,7 +95,7 @@
 	received := i.clock.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.clock.now()
+	now := i.adjustedTime()
 	if m.Kind == wire.Leave {
 		i.peers.fleet.Remove(from)
 		i.updateSource(now)
@@ -189,7 +189,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.clock.now()
+	now := i.adjustedTime()
 	if !c.Change.Full && !i.follows(c) {
 		return
 	}
