Reset no flow whose server or route may have come and gone unseen

A server that started, lost its entry and ran on between two reads of an instance shows there as the removal of an unknown server; its flows were reset as of an unknown token. A route that went, came again by a configuration that this instance had not read, and was lost by a restore of the store counted as gone.

Change: no reset for a token of a server that is known only by its removal, and none by the removal of a route from before a restore.

TestFlowOfAServerSeenOnlyToGoIsNotReset and TestFlowOfARouteLostByARestoreIsNotReset fail before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -40,6 +40,7 @@
 	loaded            bool          // a full list of servers was applied
 	loadedAt          time.Duration // when the last one was: changes before it may not be known
 	forgottenRevision Revision      // removals up to it are not all known
+	versionAtRestore  Version       // of the configuration when the epoch began, 0 in the first
 
 	servers       map[ServerID]*Server // the latest incarnation of each
 	byToken       map[token.Token]*Server
@@ -289,6 +290,7 @@
 func (c *Catalog) beginEpoch(e Epoch) {
 	c.restoring = len(c.servers) > 0
 	c.epoch, c.revision, c.forgottenRevision, c.healthySince = e, 0, 0, 0
+	c.versionAtRestore = c.Version()
 	clear(c.unknownRemoved)
 	for _, s := range c.servers {
 		s.Revision, s.removedRevision = 0, 0
@@ -520,16 +522,28 @@
 }
 
 // RouteRemoved reports whether a later configuration has removed the route to a
-// destination address. It is not known of all removed routes.
+// destination address. It is not known of all removed routes, nor of those that went
+// before a restore of the store, which loses routes that were added again.
 func (c *Catalog) RouteRemoved(dest netip.AddrPort) bool {
-	_, removed := c.routes.removedIn[dest]
-	return removed
+	return c.routes.removedIn[dest] > c.versionAtRestore
 }
 
-// KnowsAllFlows reports whether the catalog has all servers and routes that may have open
-// flows. It lacks those that came and went before its last full list: a server without an
-// entry may be running, and a restore of the store loses routes for a while.
-func (c *Catalog) KnowsAllFlows(now time.Duration) bool {
+// KnowsAllRoutes reports whether the catalog has all routes that may have open flows. It
+// lacks those that came and went before its last full list: a restore of the store loses
+// routes for a while.
+func (c *Catalog) KnowsAllRoutes(now time.Duration) bool {
+	return c.loaded && now-c.loadedAt >= missingRetention
+}
+
+// KnowsServerOf reports whether the catalog has the server that a token identifies, if
+// that may have open flows. It lacks servers that came and went before its last full
+// list, or between two reads: a server without an entry may be running.
+func (c *Catalog) KnowsServerOf(now time.Duration, t token.Token) bool {
+	for id := range c.unknownRemoved {
+		if token.ForServer(uint64(id)) == t {
+			return false
+		}
+	}
 	return c.loaded && now-c.loadedAt >= missingRetention
 }
 
--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"egrettack.example/core/catalog"
+	"egrettack.example/core/token"
 )
 
 // Guards against resetting an open flow on a route that was added moments ago, at an instance that has not read it yet.
@@ -295,3 +296,28 @@
 	v = l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, SYN: true, Seq: 1 << 30})
 	l.Expect(v.Action).To(Equal(Forward), "the caller uses its port again")
 }
+
+// Guards against resetting a flow whose server came, lost its entry and went on between two reads of this instance.
+func TestFlowOfAServerSeenOnlyToGoIsNotReset(t *testing.T) {
+	l := newFixture(t)
+	l.readFor(2 * time.Minute)
+	l.catalog.Apply(l.now, l.now, 1, &catalog.Change{Revision: 13, Removed: []catalog.Removal{{ID: 9, Revision: 13}}})
+	l.readFor(10 * time.Second)
+	p := &Packet{Caller: l.newCaller(), Dest: feed, ACK: true, Seq: 500, Ack: 9, Len: 10, Token: token.ForServer(9)}
+	l.Expect(l.decideAfterRead(p).Action).To(Equal(Hold))
+}
+
+// Guards against resetting a flow on a route that was added again after it went, by a configuration that a restore of the store has lost.
+func TestFlowOfARouteLostByARestoreIsNotReset(t *testing.T) {
+	l := newFixture(t)
+	without := &catalog.Config{Version: 2, Routes: []catalog.Route{{Dest: feed, Targets: []catalog.Target{{Service: "feed", Weight: 1}}}}}
+	l.readFor(time.Second)
+	l.catalog.Apply(l.now, l.now, 1, &catalog.Change{Revision: 11, Config: without})
+	l.readFor(time.Second)
+	l.catalog.Apply(l.now, l.now, l.now, &catalog.Change{
+		Epoch: 1, Revision: 11, Full: true, Config: without, Servers: []catalog.Server{newServer(4, "upload", "a")},
+	})
+	l.readFor(5 * time.Second)
+	p := &Packet{Caller: l.newCaller(), Dest: upload, ACK: true, Seq: 500, Ack: 9, Len: 10, Token: l.serverByID(4).Token}
+	l.Expect(l.decideAfterRead(p).Action).To(Equal(Hold))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -193,7 +193,11 @@
 	}
 	// The store was read since the packet arrived, and has no route to the address or
 	// no server with the token. There may have been one.
-	if !e.catalog.KnowsAllFlows(now) && !(v.Reason == NoRoute && e.catalog.RouteRemoved(p.Dest)) {
+	known := e.catalog.KnowsServerOf(now, p.Token)
+	if v.Reason == NoRoute {
+		known = e.catalog.RouteRemoved(p.Dest) || e.catalog.KnowsAllRoutes(now)
+	}
+	if !known {
 		return v
 	}
 	e.removeFlowByKey(p.Key())
