Take less for a packet that was left unanswered

Its flows were reset although it served: an upload of which one packet was sent again, since the acknowledgement of its caller does not move; a packet that was overtaken on the way; and, once its flow had ended, any, since the response was forgotten after 100 ms. A reset of the caller did not reach it.

Change: only a copy of the first packet with data counts, and more new data than may be in flight counts as a response. The state of a server that has responded without an entry is kept with its record. Resets of callers are forwarded unless the address is taken.

A request of one packet that takes longer than its first retransmission, at such a server, still looks unanswered.

The four new tests fail before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -150,6 +150,9 @@
 	return s
 }
 
+// IsKept reports whether s is the latest incarnation of a server in the catalog.
+func (c *Catalog) IsKept(s *Server) bool { return c.servers[s.ID] == s }
+
 // EachServer calls f for the latest incarnation of each server.
 func (c *Catalog) EachServer(f func(*Server)) {
 	for _, s := range c.servers {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -263,7 +263,9 @@
 	e.sweepQueue = e.sweepQueue[n:]
 	e.expireOrphans(now)
 	for s, st := range e.states {
-		if st.openFlows == 0 && !e.catalog.Active(s) {
+		// The response of a server without an entry shows that it runs.
+		responded := s.MissingSince > 0 && st.lastResponse >= s.MissingSince && e.catalog.IsKept(s)
+		if st.openFlows == 0 && !e.catalog.Active(s) && !responded {
 			delete(e.states, s)
 		}
 	}
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -215,3 +215,56 @@
 		l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
 	}
 }
+
+// Guards against resetting an upload to a server that drains without an entry: the caller acknowledges nothing, and sends one packet again.
+func TestUploadToALeftServerStaysOpen(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.drain(1))
+	send := func(seq uint32) {
+		l.now += 50 * time.Millisecond
+		l.catalog.Confirm(l.now, l.catalog.Position())
+		v := l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, ACK: true, Seq: seq, Ack: 1, Len: 1200, Token: f.Token})
+		l.Expect(v.Action).To(Equal(Forward))
+		l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
+	}
+	for n := range uint32(100) {
+		send(101 + 1200*n)
+	}
+	for range 5 {
+		send(101 + 1200*99)
+	}
+}
+
+// Guards against taking a packet that was overtaken on the way for one that was sent again.
+func TestOvertakenPacketIsNoRetransmission(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.drain(1))
+	l.request(f, 151, 1)
+	l.now += 110 * time.Millisecond
+	l.catalog.Confirm(l.now, l.catalog.Position())
+	l.Expect(l.request(f, 101, 1).Action).To(Equal(Forward))
+	l.Expect(l.engine.TakeEndedFlows(l.now)).To(BeEmpty())
+}
+
+// Guards against forgetting, with its last flow, that a server without an entry has responded.
+func TestResponseOfAServerWithoutEntryIsRemembered(t *testing.T) {
+	l := newFixture(t)
+	s := l.drain(1)
+	f := l.openFlowTo(s)
+	l.request(f, 101, 1)
+	l.now += 50 * time.Millisecond
+	l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, ACK: true, FIN: true, Seq: 151, Ack: 900, Token: f.Token})
+	l.now += 100 * time.Millisecond
+	l.engine.Tick(l.now)
+	_, ended := l.engine.hasEnded(s)
+	l.Expect(ended).To(BeFalse())
+}
+
+// Guards against a flow that stays open at a new start, unknown here, whose caller has reset it.
+func TestResetOfACallerReachesTheLastAddress(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.drain(1))
+	l.request(f, 101, 1)
+	v := l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, RST: true, Seq: 151, Ack: 1, Token: f.Token})
+	l.Expect(v.Action).To(Equal(Forward))
+}
--- a/core/steer/orphan.go
+++ b/core/steer/orphan.go
@@ -14,6 +14,8 @@
 	// orphanTimeout is the time without a packet after which the caller has given up
 	// the flow: retransmissions are at most 1.6 s apart.
 	orphanTimeout = 2 * time.Second
+	// maxInFlight is the most data that a caller has in flight, in bytes: 16 packets.
+	maxInFlight = 16 * 1200
 )
 
 // orphan is an open flow whose server has ended, as far as the catalog tells. The
@@ -25,9 +27,22 @@
 	since    time.Duration // arrival of the first packet that has got no response
 	lastSeen time.Duration // arrival of the last packet
 	ack      uint32        // the caller's acknowledgement in these packets
-	// unanswered is set when the caller has sent a packet again that was forwarded to
-	// the server's last address.
-	unanswered bool
+	// The first packet with data that was forwarded to the server's last address.
+	forwardedAt time.Duration // 0 before
+	seq         uint32
+	unanswered  bool // the caller has sent it again
+}
+
+// forward notes that a packet with data is forwarded. It reports whether the server
+// has responded: the caller sends more than it may without an acknowledgement.
+func (x *orphan) forward(now time.Duration, p *Packet) (responded bool) {
+	switch {
+	case x.forwardedAt == 0:
+		x.forwardedAt, x.seq = now, p.Seq
+	case p.Seq == x.seq:
+		x.unanswered = x.unanswered || now-x.forwardedAt >= minRetransmitGap
+	}
+	return int32(p.Seq-x.seq) > maxInFlight // sequence numbers wrap around
 }
 
 // deliverToEnded decides on a packet of a flow whose server has ended by what the
@@ -36,10 +51,12 @@
 func (e *Engine) deliverToEnded(now time.Duration, p *Packet, f *flowEntry, s *catalog.Server, presence catalog.Presence) Verdict {
 	key := p.Key()
 	v := Verdict{Action: Forward, Reason: ServerGone, Server: s, Presence: presence}
+	if presence == catalog.AddressTaken {
+		v.Action = Drop
+	}
 	if p.RST {
 		delete(e.orphans, key)
 		e.removeFlowByKey(key)
-		v.Action = Drop
 		return v
 	}
 	x := e.orphans[key]
@@ -48,12 +65,13 @@
 		e.orphans[key] = x
 	}
 	x.lastSeen = now
-	if presence == catalog.AddressTaken {
-		v.Action = Drop
-	} else {
-		repeated := p.Len > 0 && f != nil && int32(p.Seq+uint32(p.Len)-f.nextSeq) <= 0
-		x.unanswered = x.unanswered || repeated && now-x.since >= minRetransmitGap
+	if v.Action == Forward {
 		v.ResponseTime = e.observePacket(now, key, f, s, p)
+		if p.Len > 0 && x.forward(now, p) {
+			e.state(s).responded(now)
+			delete(e.orphans, key)
+			return v
+		}
 	}
 	if e.hasNoServer(x, presence) {
 		delete(e.orphans, key)
--- a/core/steer/silence.go
+++ b/core/steer/silence.go
@@ -26,9 +26,8 @@
 	}
 }
 
-// hasEnded reports whether a server has ended, so that its flows are reset. A server
-// that has responded since its entry is missing runs: the store does not accept the
-// entry.
+// hasEnded reports whether a server has ended, as far as is known. A server that has
+// responded since its entry is missing runs: the store does not accept the entry.
 func (e *Engine) hasEnded(s *catalog.Server) (catalog.Presence, bool) {
 	presence := e.catalog.Presence(s)
 	return presence, presence.Ended() && (s.Published() || e.state(s).lastResponse < s.MissingSince)
