Refuse no SYN that waits while its flow is open elsewhere

A SYN that waited for room was refused although packets of its flow, which had opened by way of another instance, arrived here. The reset, with sequence number 0, ends hardly any flow.

Change: the refusal checks for an open flow as the placement does.

TestWaitingSYNOfAnOpenFlowIsNotRefused guards it; before, the refusal was made without looking at the flow.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -321,3 +321,13 @@
 	p := &Packet{Caller: l.newCaller(), Dest: upload, ACK: true, Seq: 500, Ack: 9, Len: 10, Token: l.serverByID(4).Token}
 	l.Expect(l.decideAfterRead(p).Action).To(Equal(Hold))
 }
+
+// Guards against refusing a SYN that waits for room while its flow is open by way of another instance, whose packets arrive here.
+func TestWaitingSYNOfAnOpenFlowIsNotRefused(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.serverByID(1))
+	syn := &Packet{Caller: f.Caller, Dest: f.Dest, SYN: true, Seq: 100}
+	l.Expect(l.engine.RefuseQueued(syn)).To(Equal(Verdict{Action: Reset, Reason: NoRoom}))
+	l.request(f, 101, 1)
+	l.Expect(l.engine.RefuseQueued(syn).Action).To(Equal(Drop))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -90,14 +90,22 @@
 	return e.openFlow(now, p, route, service)
 }
 
+// RefuseQueued decides on a SYN that waited for room at a service and cannot be placed
+// in time. There is nothing to refuse if its flow has opened by way of another instance.
+func (e *Engine) RefuseQueued(p *Packet) Verdict {
+	if f := e.flows[p.Key()]; f != nil && f.isOpen(p) {
+		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
+	}
+	return Verdict{Action: Reset, Reason: NoRoom}
+}
+
 // openFlow chooses a server for a new flow. A retransmitted SYN goes to a server
 // that has not received one yet, unless the last one has just received it. This is
 // safe since no server has run a request of the flow.
 func (e *Engine) openFlow(now time.Duration, p *Packet, route *catalog.Route, service string) Verdict {
 	key := p.Key()
 	f := e.flows[key]
-	if f != nil && f.established && (f.synSeq == p.Seq || f.covers(p.Seq)) {
-		// The flow is open, perhaps by way of another instance.
+	if f != nil && f.isOpen(p) {
 		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
 	}
 	if f != nil && f.synSeq != p.Seq {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -58,6 +58,12 @@
 	return -maxSeqDistance <= d && d <= maxSeqDistance
 }
 
+// isOpen reports whether the flow that a SYN begins is open, perhaps by way of another
+// instance.
+func (f *flowEntry) isOpen(syn *Packet) bool {
+	return f.established && (f.synSeq == syn.Seq || f.covers(syn.Seq))
+}
+
 // request is the last request of a flow.
 type request struct {
 	inFlight       bool          // counted in serverState.inFlight
--- a/node/edge/waiting.go
+++ b/node/edge/waiting.go
@@ -75,7 +75,7 @@
 // refuseWaiting refuses the flows that cannot be placed in time.
 func (i *Instance) refuseWaiting(now time.Duration) {
 	for _, h := range i.waiting.Refuse(now) {
-		v := steer.Verdict{Action: steer.Reset, Reason: steer.NoRoom}
+		v := i.engine.RefuseQueued(&h.packet)
 		i.execute(now, now-h.receivedAt, v, &h.packet, h.data, make([]byte, 0, readBuffer))
 	}
 }
