--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -57,15 +57,20 @@
 // Next removes and returns the flow that is to be placed next. It reports false
 // if none waits.
 func (q *Queue[T]) Next(now time.Duration) (f Flow[T], ok bool) {
-	if len(q.flows) == 0 {
-		return f, false
-	}
-	first := 0
+	return q.next(now, func(*Flow[T]) bool { return true })
+}
+
+// next is Next among the flows that may be placed.
+func (q *Queue[T]) next(now time.Duration, may func(*Flow[T]) bool) (f Flow[T], ok bool) {
+	first := -1
 	for i := range q.flows {
-		if compare(now, &q.flows[i], &q.flows[first]) < 0 {
+		if may(&q.flows[i]) && (first < 0 || compare(now, &q.flows[i], &q.flows[first]) < 0) {
 			first = i
 		}
 	}
+	if first < 0 {
+		return f, false
+	}
 	f = q.flows[first]
 	q.flows = slices.Delete(q.flows, first, first+1)
 	return f, true
--- a/core/pacing/waiting.go
+++ b/core/pacing/waiting.go
@@ -98,19 +98,17 @@
 	if len(w.validUntil) == 0 {
 		return
 	}
+	valid := func(f *Flow[keyed[K, T]]) bool { return now < w.validUntil[f.Value.key] }
 	for service, q := range w.byService {
-		var due []Flow[keyed[K, T]]
 		for q.Len() > 0 && hasRoom(service) {
-			f, _ := q.Next(now)
-			if now >= w.validUntil[f.Value.key] {
-				due = append(due, f)
-				continue
+			f, ok := q.next(now, valid)
+			if !ok {
+				break
 			}
 			q.placed++
 			delete(w.validUntil, f.Value.key)
 			place(service, f.Value.value)
 		}
-		q.flows = append(q.flows, due...)
 	}
 }
 
