--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -65,7 +65,7 @@
 	NoToken                    // a packet of an open flow without a token
 	NoRoom                     // the servers have as much work as they can do in time
 	Duplicate                  // a copy of a SYN that was forwarded just before
-	NotRepeated                // a SYN that waited, and whose next copy did not arrive
+	NotRepeated                // a SYN that waited, and whose next copy was not read in time
 	Late                       // a SYN that arrived long ago: see Packet.ValidFor
 	numReasons
 )
--- a/node/edge/packets.go
+++ b/node/edge/packets.go
@@ -174,10 +174,11 @@
 }
 
 // logDecision logs a decision that matters to a request: on a new flow, on the
-// first packet of a request, or any other than forwarding by the token.
+// first packet of a request, or any other than forwarding to the flow's server.
 func (i *Instance) logDecision(now, waited time.Duration, v steer.Verdict, p *steer.Packet, data []byte) {
 	request := i.packets.RequestID(data)
-	if v.Reason == steer.Token && request == nil {
+	toServer := v.Reason == steer.Token || v.Reason == steer.ServerGone && v.Action == steer.Forward
+	if toServer && request == nil {
 		return
 	}
 	ok, suppressed := i.packetLogLimiter.Allow(now)
