Date the responses of a server by the packet before them

Cause: a server that has responded since its entry is missing is taken to run. The acknowledgement of a response counted as a response at that moment. A flow that was served by way of another instance until the end, and came back after a pause, brought such an acknowledgement. From then on the instance took the server to run, for all of its flows.

Change: the response was sent after the last packet of the flow that this instance has seen, which is all that the acknowledgement shows.

--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -201,10 +201,11 @@
 	if !f.established {
 		f.noteHandshake(now)
 	}
+	before := f.lastPacket
 	f.lastPacket = now
 	// Sequence numbers wrap around.
 	if progress := int32(p.Ack-f.highestAck) > 0; !f.established || progress {
-		e.state(s).responded(now)
+		e.state(s).responded(before)
 		if r := &f.request; f.established && progress {
 			if r.inFlight {
 				responseTime = now - r.startedAt
--- a/core/steer/gone_test.go
+++ b/core/steer/gone_test.go
@@ -268,3 +268,18 @@
 	v := l.engine.Decide(l.now, &Packet{Caller: f.Caller, Dest: f.Dest, RST: true, Seq: 151, Ack: 1, Token: f.Token})
 	l.Expect(v.Action).To(Equal(Forward))
 }
+
+// Guards against callers that wait for a server that has left, at an instance that sees after its end the acknowledgement of a response from before.
+func TestResponseFromBeforeItsEndDoesNotKeepAServer(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.serverByID(1))
+	l.request(f, 101, 1)
+	l.drain(1)
+	var v Verdict
+	for range 2 {
+		v = l.request(f, 151, 1001)
+		l.now += 200 * time.Millisecond
+		l.catalog.Confirm(l.now, l.catalog.Position())
+	}
+	l.Expect(v.Action).To(Equal(Reset))
+}
--- a/core/steer/orphan.go
+++ b/core/steer/orphan.go
@@ -68,7 +68,7 @@
 	if v.Action == Forward {
 		v.ResponseTime = e.observePacket(now, key, f, s, p)
 		if p.Len > 0 && x.forward(now, p) {
-			e.state(s).responded(now)
+			e.state(s).responded(x.forwardedAt)
 			delete(e.orphans, key)
 			return v
 		}
--- a/core/steer/silence.go
+++ b/core/steer/silence.go
@@ -6,9 +6,9 @@
 	"egrettack.example/core/catalog"
 )
 
-// responded records a response of the server.
-func (st *serverState) responded(now time.Duration) {
-	st.unansweredSince, st.silent, st.lastResponse = 0, false, now
+// responded records a response of the server, which it sent after the given time.
+func (st *serverState) responded(after time.Duration) {
+	st.unansweredSince, st.silent, st.lastResponse = 0, false, max(st.lastResponse, after)
 }
 
 // observeSilence notes whether the server of a flow responds, by a packet of the flow:
@@ -20,7 +20,7 @@
 	// Sequence numbers wrap around.
 	switch newData := int32(p.Seq+uint32(p.Len)-f.nextSeq) > 0; {
 	case int32(p.Ack-f.highestAck) > 0:
-		e.state(s).responded(now)
+		e.state(s).responded(f.lastPacket)
 	case p.Len > 0 && !newData:
 		e.state(s).silent = true
 	}
