testkit: keep the work directory of a scenario that fails

testscript deletes the work directory with the logs of all processes at the end of a script. The logs of the one failure of s10_double_kill were lost so.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,8 @@
 	@$(MAKE) --no-print-directory build >&2
 	@$(BIN)/egrettack-testkit edge-demo --program $(BIN)/egrettack-edge
 
-# RUN selects scenarios by name, SKIP leaves some out, SEED repeats a run.
+# RUN selects scenarios by name, SKIP leaves some out, SEED repeats a run. The logs
+# of a failed scenario of ./testkit/ go to SCENARIO_DIR, by default .bin/scenarios.
 scenarios: build
 	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) go test -count=1 -timeout 9m -parallel 3 -run 'TestScenarios/$(RUN)' -skip '$(SKIP)' ./testkit/
 	SCENARIOS=1 BIN=$(BIN) SEED=$(SEED) RUNS=2 go test -count=1 -timeout 5m -parallel 3 -run '(TestScripts|TestSoak)/$(RUN)' -skip '$(SKIP)' ./testkit/edge
--- a/testkit/scenario/commands.go
+++ b/testkit/scenario/commands.go
@@ -47,6 +47,7 @@
 		Setup: func(e *testscript.Env) error {
 			r := newRun(cfg, e.WorkDir)
 			e.Values[runKey{}] = r
+			e.Defer(func() { r.keepIfFailed(e.T()) })
 			e.Defer(r.close)
 			return nil
 		},
--- a/testkit/scenario/run.go
+++ b/testkit/scenario/run.go
@@ -25,6 +25,7 @@
 type Config struct {
 	Bin  string // directory of the built binaries
 	Tree string // directory of the settings tree
+	Keep string // directory that gets the work directories of failed scripts, "" for none
 	Seed uint64
 }
 
--- a/testkit/scenario_test.go
+++ b/testkit/scenario_test.go
@@ -15,7 +15,9 @@
 // TestScenarios runs the scripts of scenarios/ against real processes. It
 // guards the requirements of docs/design.md, section 2.2, under planned changes
 // and failures. It needs the built binaries and runs for minutes, hence only
-// with SCENARIOS set (make scenarios).
+// with SCENARIOS set (make scenarios). The logs of a scenario that fails go to a
+// directory in SCENARIO_DIR, which is scenarios in the directory of the binaries
+// unless it is set.
 func TestScenarios(t *testing.T) {
 	if os.Getenv("SCENARIOS") == "" {
 		t.Skip("SCENARIOS is not set")
@@ -44,7 +46,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := scenario.Params(scenario.Config{Bin: bin, Tree: tree, Seed: seed}, scripts)
+	keep := os.Getenv("SCENARIO_DIR")
+	if keep == "" {
+		keep = filepath.Join(bin, "scenarios")
+	}
+	if keep, err = filepath.Abs(keep); err != nil {
+		t.Fatal(err)
+	}
+	p := scenario.Params(scenario.Config{Bin: bin, Tree: tree, Keep: keep, Seed: seed}, scripts)
 	if p.WorkdirRoot = os.Getenv("KEEP"); p.WorkdirRoot != "" {
 		// The logs of all processes stay in this directory.
 		p.TestWork = true
