group: don't take reordered segments for retransmissions

The packets of one flow take different ways through the instances and overtake each other. Every segment below the highest one was counted as a retransmission, so three overtaken segments of one burst made the flow look silent: it was reset at its first real retransmission 2 s later or more, although its host was well. After a lost SYN that is 3 s later (RFC 6298, 5.7). Three such flows also ejected the host.

A segment below the highest one now counts only if the flow was quiet for 100 ms before it. TestReorderedSegmentsDoNotEject and TestReorderedSegmentsAreNotSilence fail before; TestRetransmittedBurstsAreSilence guards the other side.

--- a/core/group/observe.go
+++ b/core/group/observe.go
@@ -19,6 +19,10 @@
 	// be later than the last progress of the silent flow, so that no flow is
 	// reset when all flows of a host stall for a short time.
 	silentMargin = time.Second
+	// reorderWindow is the time within which a segment may arrive after a later one
+	// without being a retransmission: they take different ways through the
+	// instances. It is below the shortest usual retransmission time-out of 200 ms.
+	reorderWindow = 100 * time.Millisecond
 	// resetWindow is by how much the sequence number of a RST may differ from
 	// the highest one that the caller has sent. It is about the largest TCP
 	// window in use. A forged RST passes with a probability of 1 in 2,000.
@@ -35,6 +39,7 @@
 // reports whether the flow is silent.
 func (t *Table) observe(now time.Duration, e *table.Entry, p *flow.Packet) bool {
 	stamp := table.TimestampOf(now)
+	quiet := e.LastPacket.Elapsed(stamp)
 	e.LastPacket = stamp
 	if p.Key.Proto != flow.TCP {
 		return false
@@ -63,7 +68,7 @@
 		e.SetState(table.Closing)
 		t.notePullChange(e, false)
 	}
-	return t.observeData(now, e, p)
+	return t.observeData(now, quiet, e, p)
 }
 
 // resetPlausible reports whether the sequence number of a RST may come from the
@@ -128,8 +133,11 @@
 // observeData distinguishes new data from retransmissions and reports whether
 // the flow is silent. New data shows that the host's acknowledgements, which do
 // not pass through this instance, have opened the window. A segment of one byte
-// may be a keep-alive, which repeats sequence numbers by design.
-func (t *Table) observeData(now time.Duration, e *table.Entry, p *flow.Packet) bool {
+// may be a keep-alive, which repeats sequence numbers by design. quiet is the time
+// since the previous packet of the flow: a segment below the highest one that
+// follows soon may have been overtaken, or be sent on a host's selective
+// acknowledgement, and is no sign of silence.
+func (t *Table) observeData(now, quiet time.Duration, e *table.Entry, p *flow.Packet) bool {
 	end := p.Seq + uint32(p.PayloadLen)
 	switch {
 	case e.Retransmissions == table.SeqUnknown:
@@ -140,6 +148,7 @@
 		e.Seq = end
 		e.Retransmissions = 0
 		e.LastProgress = table.TimestampOf(now)
+	case end != e.Seq && quiet < reorderWindow:
 	case p.PayloadLen > 1 && e.Retransmissions < table.SeqUnknown-1:
 		e.Retransmissions++
 		if e.Retransmissions == silentRetransmissions && e.CreatedAt.Elapsed(e.LastProgress) < newFlowAge {
--- a/core/group/packet_test.go
+++ b/core/group/packet_test.go
@@ -247,3 +247,62 @@
 		})
 	}
 }
+
+// reordered opens flows and sends a burst of eight segments on each, of which four
+// are lost and the others overtake each other on their ways through several
+// instances.
+func reordered(t *testing.T, tab *group.Table, flows int) {
+	for n := range flows {
+		open(t, tab, 0, feed, n)
+		for _, i := range []uint32{7, 1, 3, 4} {
+			r := request(feed, n, flow.ACK, 101+1000*i, 5001, 1000)
+			NewWithT(t).Expect(tab.Decide(time.Duration(n)*time.Millisecond, r).Verdict).To(Equal(group.Forward))
+		}
+	}
+}
+
+// Guards against ejecting a host because segments of new flows overtook each other.
+func TestReorderedSegmentsDoNotEject(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(3)
+	tab := f.table(group.Config{})
+	reordered(t, tab, 30)
+	for _, h := range tab.Stats(0).Hosts {
+		g.Expect(h.Connections).To(BeNumerically(">=", 3), "three failures eject a host")
+		g.Expect(h.Usable).To(BeTrue(), "host %d: %s", h.Host, h.Why)
+	}
+}
+
+// Guards against resetting a flow whose segments overtook each other at its first
+// retransmission, which comes after 3 s if the SYN was retransmitted too (RFC 6298, 5.7).
+func TestReorderedSegmentsAreNotSilence(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	reordered(t, tab, 2)
+	tab.Decide(2500*time.Millisecond, request(feed, 1, flow.ACK, 8101, 6000, 0))
+	r := request(feed, 0, flow.ACK, 101, 5001, 1000)
+	g.Expect(tab.Decide(3*time.Second, r)).To(HaveField("Verdict", group.Forward))
+	for range 2000 {
+		g.Expect(tab.Tick(3500 * time.Millisecond)).To(BeEmpty())
+	}
+}
+
+// Guards against no reset of a flow that is silent although each of its
+// retransmissions, in bursts of several segments, begins below the highest one.
+func TestRetransmittedBurstsAreSilence(t *testing.T) {
+	g := NewWithT(t)
+	f := defaultFleet(1)
+	tab := f.table(group.Config{})
+	open(t, tab, 0, feed, 1)
+	open(t, tab, 0, feed, 2)
+	for _, ms := range []int{0, 200, 600, 1400} {
+		for seq := range uint32(3) {
+			r := request(feed, 1, flow.ACK, 101+1000*seq, 5001, 1000)
+			g.Expect(tab.Decide(time.Duration(ms+int(seq))*time.Millisecond, r).Verdict).To(Equal(group.Forward))
+		}
+	}
+	tab.Decide(2900*time.Millisecond, request(feed, 2, flow.ACK, 101, 6000, 0))
+	d := tab.Decide(3*time.Second, request(feed, 1, flow.ACK, 101, 5001, 1000))
+	g.Expect(d).To(And(HaveField("Verdict", group.Abort), HaveField("Reason", group.ReasonSilent)))
+}
