engine: drop SYNs at an instance that was paused

Packets wait in the socket of a paused instance. When it woke, it relayed a SYN that was seconds old. The caller had sent the SYN again after 1 s, and while the group of the paused owner could not be reached, its second group had opened the flow at another host. The owner of the first group then placed the late SYN, its host answered the flow's packets with a reset, and the open flow broke.

A stale instance now drops TCP SYNs. A new one costs its caller a retransmission.

TestStaleInstanceRelays wanted a SYN after a pause relayed, which is this fault. It now wants it dropped, and the packet of an unknown flow relayed, which it left open.

--- a/core/engine/guard_test.go
+++ b/core/engine/guard_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// Guards against a process that places flows after it was paused, and against one that
-// drops the packets of established flows it has entries for.
+// Guards against a process that places flows after it was paused or passes on their
+// SYNs, which may be late, and against one that drops the packets of established flows.
 func TestStaleInstanceRelays(t *testing.T) {
 	w := newWorld(t, 1, initialInput(1, 2, 2))
 	w.run(4 * time.Second)
@@ -113,14 +113,10 @@
 	unopened.Key.Src++ // a new flow
 	w.now += 2 * time.Second
 	n.expect("established flow after a pause", data, nil, ToHost, "")
-	if a := n.engine.Packet(n.time(), &unopened, nil); a.Verdict != ToPeer {
-		t.Errorf("SYN after a pause: verdict %d, reason %q, want it relayed", a.Verdict, a.Reason)
-	}
+	n.expect("SYN after a pause", &unopened, nil, Drop, group.ReasonStale)
 	unknown := *data
 	unknown.Key = unopened.Key
-	if a := n.engine.Packet(n.time(), &unknown, nil); a.Verdict == ToHost || a.Verdict == ToCaller {
-		t.Errorf("packet of an unknown flow after a pause: verdict %d, want it relayed or dropped", a.Verdict)
-	}
+	n.expect("packet of an unknown flow after a pause", &unknown, nil, ToPeer, "")
 }
 
 // Guards against an owner that continues to place flows after it has received a claim
--- a/core/engine/packet.go
+++ b/core/engine/packet.go
@@ -97,6 +97,11 @@
 	if newer {
 		e.noteVersion(relay.Version)
 	}
+	if w.stale && p.OpensConnection() {
+		// The SYN may have waited here during the pause. The caller has retransmitted
+		// it since, and another instance may have opened the flow with it.
+		return drop(group.ReasonStale)
+	}
 	bind, ok := v.Lookup(endpoint(p.Key))
 	switch {
 	case !ok && newer:
--- a/core/engine/stale_test.go
+++ b/core/engine/stale_test.go
@@ -234,3 +234,27 @@
 		t.Errorf("SYN when the peer has the newer version: %+v, want it not dropped", a)
 	}
 }
+
+// Guards against breaking a flow by its first SYN, which a paused instance held while
+// the caller opened the flow by way of another one.
+func TestLateSYNBreaksNoFlow(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, initialInput(2, 1, 3))
+		w.run(4 * time.Second)
+		w.nodes[0].pause(3 * time.Second)
+		w.generateTraffic(w.now + 3*time.Second)
+		w.run(w.now + 20*time.Second)
+		opened, brokenFlows := 0, 0
+		for _, c := range w.allCallers {
+			switch c.state {
+			case open, closed:
+				opened++
+			case broken:
+				brokenFlows++
+			}
+		}
+		if opened < 50 || brokenFlows > 0 {
+			t.Errorf("seed %d: %d flows opened, %d broken, want at least 50 and 0", seed, opened, brokenFlows)
+		}
+	}
+}
