testkit/edge: judge resets by servers that do not hold a flow

The caller took a reset by a server as harmless, so a flow whose packets an instance brought to another server than the one that holds it open broke no promise; nor did a flow none of whose packets reached its server. A copy of a SYN that came late to the flow's own server discarded the open flow there, and a reset between two requests was not judged at all.

Servers now report which of their packets belong to a flow that another living server holds open. A caller that gets the reset for one notes a violation, and so does the city when for 2 s three or more packets of a flow reached other servers and none its own. Under unplanned trouble both count only for instances in touch.

Unit tests pass twice with -race.

--- a/testkit/edge/caller.go
+++ b/testkit/edge/caller.go
@@ -130,6 +130,9 @@
 // notes a reset of an open flow that its server still holds.
 func (f *flow) resetError(p *packet) error {
 	if p.sum != 0 {
+		if f.stream != nil {
+			f.caller.city.checkReset(f.key, time.Since(f.opened))
+		}
 		return errServer
 	}
 	if f.stream != nil && f.caller.city.held(f.key) && f.caller.city.hasRoute(f.key.dest) {
@@ -177,6 +180,9 @@
 	for {
 		select {
 		case p := <-f.in:
+			if p.has(rst) && !f.closed {
+				_ = f.resetError(&p) // between requests a reset only ends the flow
+			}
 			f.take(&p)
 		default:
 			return f.closed
--- a/testkit/edge/check.go
+++ b/testkit/edge/check.go
@@ -55,6 +55,105 @@
 	}
 }
 
+// flowBound is for how long packets of a flow may reach only other servers, and
+// strayPackets how many of them count.
+const (
+	flowBound    = 2 * time.Second
+	strayPackets = 3
+)
+
+// astray are the packets of an open flow that reached other servers since one reached
+// the flow's own.
+type astray struct {
+	holder  *Server
+	packets int
+	last    netip.Addr // instance that brought the last one
+}
+
+// checkArrival judges where an instance brought a packet of an open flow.
+func (c *City) checkArrival(k flowKey, s *Server, a arrival, from netip.Addr, now time.Time) {
+	switch a {
+	case opening:
+		return
+	case taken:
+		c.mu.Lock()
+		delete(c.astray, k)
+		c.mu.Unlock()
+		return
+	}
+	holder := c.holder(k, now)
+	if holder == nil || holder == s || !holder.calm(now) || !s.calm(now) || !c.hasRoute(k.dest) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.impairedLately(now) && !c.inTouch(from, now) {
+		return
+	}
+	x := c.astray[k]
+	if x == nil {
+		x = &astray{holder: holder}
+		c.astray[k] = x
+		time.AfterFunc(flowBound, func() { c.checkAstray(k, x) })
+	}
+	x.packets++
+	x.last = from
+	if a == refused {
+		c.wrongResets[k] = fmt.Sprintf("server %x, to which %s brought it, though server %x holds it", s.ID, from, holder.ID)
+	}
+}
+
+// checkAstray judges a flow some time after the first of its packets went astray.
+func (c *City) checkAstray(k flowKey, x *astray) {
+	holds := x.holder.holds(k)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.astray[k] != x {
+		return
+	}
+	delete(c.astray, k)
+	if holds && x.packets >= strayPackets {
+		c.violationLocked("%d packets of flow %s to %s reached other servers in %s, at last by %s, and none server %x, which holds it",
+			x.packets, k.caller, k.dest, flowBound, x.last, x.holder.ID)
+	}
+}
+
+// checkReset judges a reset that a caller got from a server on an open flow.
+func (c *City) checkReset(k flowKey, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if by, ok := c.wrongResets[k]; ok {
+		c.violationLocked("flow %s to %s was reset after %s by %s", k.caller, k.dest, age, by)
+	}
+}
+
+// holder returns the living server that had the flow open at a time and still has, nil
+// if there is none.
+func (c *City) holder(k flowKey, at time.Time) *Server {
+	for _, s := range c.Servers() {
+		if since, ok := s.openSince(k); ok && !since.After(at) {
+			return s
+		}
+	}
+	return nil
+}
+
+// impair notes unplanned trouble that lasts for a while. Without any, promises about
+// open flows hold for all instances.
+func (c *City) impair(lasts time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.impairLocked(lasts)
+}
+
+func (c *City) impairLocked(lasts time.Duration) {
+	if end := time.Now().Add(lasts); end.After(c.impaired) {
+		c.impaired = end
+	}
+}
+
+func (c *City) impairedLately(now time.Time) bool { return now.Sub(c.impaired) <= c.cfg.Settle }
+
 // ran notes that a server began to work on a request.
 func (c *City) ran(id uint64) {
 	c.mu.Lock()
--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -69,7 +69,11 @@
 	runs       map[uint64]int
 	violations []string
 	storeSick  time.Time // end of the last trouble with the store
-	served     []sample
+	impaired   time.Time // end of the last unplanned trouble
+	astray     map[flowKey]*astray
+
+	wrongResets map[flowKey]string // of open flows, by servers that do not hold them
+	served      []sample
 }
 
 // routeHistory is what configurations said of an address.
@@ -82,7 +86,7 @@
 func New(cfg Config) (*City, error) {
 	c := &City{
 		cfg: cfg, Store: NewStore(50), routes: make(map[netip.AddrPort]*routeHistory),
-		runs: make(map[uint64]int), started: time.Now(),
+		runs: make(map[uint64]int), astray: make(map[flowKey]*astray), wrongResets: make(map[flowKey]string), started: time.Now(),
 	}
 	l, err := net.Listen("tcp4", c.ip(0, 1).String()+":0")
 	if err != nil {
@@ -326,4 +330,5 @@
 	if end := time.Now().Add(lasts); end.After(c.storeSick) {
 		c.storeSick = end
 	}
+	c.impairLocked(lasts)
 }
--- a/testkit/edge/instance.go
+++ b/testkit/edge/instance.go
@@ -35,6 +35,7 @@
 
 	inRotation bool
 	misses     int
+	unplanned  bool      // its last stop was a kill
 	troubled   time.Time // end of the last trouble with it
 }
 
@@ -91,12 +92,20 @@
 		close(ended)
 	}(i.cmd, i.ended)
 	i.trouble(0)
+	if i.unplanned {
+		i.city.impair(0)
+		i.unplanned = false
+	}
 	return nil
 }
 
 // Signal sends a signal to the process.
 func (i *Instance) Signal(s syscall.Signal) error {
 	i.trouble(0)
+	if s != syscall.SIGTERM && s != syscall.SIGHUP {
+		i.city.impair(0)
+		i.unplanned = s == syscall.SIGKILL
+	}
 	return i.cmd.Process.Signal(s)
 }
 
@@ -122,6 +131,7 @@
 // Proxy sets what becomes of its connections to the store.
 func (i *Instance) Proxy(m ProxyMode) {
 	i.trouble(0)
+	i.city.impair(0)
 	i.proxy.set(m)
 }
 
@@ -130,4 +140,7 @@
 	i.city.mu.Lock()
 	defer i.city.mu.Unlock()
 	i.troubled = time.Now().Add(lasts)
+	if lasts > 0 {
+		i.city.impairLocked(lasts)
+	}
 }
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -44,7 +44,8 @@
 	sequence int       // of heartbeats
 	dead     bool
 	ailment  Ailment
-	opened   int // flows that opened here since Ail
+	opened   int       // flows that opened here since Ail
+	impaired time.Time // last unplanned trouble with it
 }
 
 // Ailment is how a server fails half of its requests while its entry says that
@@ -73,7 +74,7 @@
 func (s *Server) Ail(a Ailment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ailment, s.opened = a, 0
+	s.ailment, s.opened, s.impaired = a, 0, time.Now()
 }
 
 // Opened returns the flows that opened at the server since Ail.
@@ -85,10 +86,11 @@
 
 type serverFlow struct {
 	*stream
-	opened  bool
+	opened  time.Time // zero before the end of the handshake
 	closing bool
 	echo    uint32
 	isn     uint32
+	first   uint32 // position of the caller's first byte
 }
 
 // name is the key of the server's entry.
@@ -185,6 +187,7 @@
 
 // Crash ends the server without a word. Its entry lapses later.
 func (s *Server) Crash() {
+	s.city.impair(0)
 	if s.stop() {
 		s.city.Store.Touch("servers/" + s.name())
 	}
@@ -197,10 +200,14 @@
 	if !s.stop() {
 		return nil, trace.NotFound("server %x has ended and cannot restart", s.ID)
 	}
+	s.city.impair(entryAfter)
 	next, err := s.city.startServer(s.ID, s.Service, s.Domain, s.Addr)
 	if err != nil {
 		return nil, err
 	}
+	next.mu.Lock()
+	next.impaired = time.Now().Add(entryAfter)
+	next.mu.Unlock()
 	s.city.addLive(next)
 	go next.heartbeats(entryAfter)
 	return next, nil
@@ -229,10 +236,26 @@
 
 // holds reports whether the server lives and has the flow open.
 func (s *Server) holds(k flowKey) bool {
+	_, ok := s.openSince(k)
+	return ok
+}
+
+// openSince returns the time since which the server, which lives, has the flow open.
+func (s *Server) openSince(k flowKey) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.flows[k]
-	return !s.dead && f != nil && f.opened && !f.closing
+	if s.dead || f == nil || f.opened.IsZero() || f.closing {
+		return time.Time{}, false
+	}
+	return f.opened, true
+}
+
+// calm reports whether the server had no unplanned trouble for a while.
+func (s *Server) calm(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.impaired) > s.city.cfg.Settle
 }
 
 func (s *Server) receive() {
@@ -254,45 +277,73 @@
 			s.city.violation("server %x got a packet that no caller wrote, from %s", s.ID, from)
 			continue
 		}
-		s.handle(&p, from.Addr())
+		now := time.Now()
+		a := s.handle(&p, from.Addr(), now)
+		s.city.checkArrival(flowKey{p.src, p.dst}, s, a, from.Addr(), now)
+		if a == refused {
+			s.refuse(&p)
+		}
 	}
 }
 
-func (s *Server) handle(p *packet, from netip.Addr) {
+// arrival is what a packet was to a server.
+type arrival uint8
+
+const (
+	opening arrival = iota // or no matter of a flow that is open
+	taken                  // of a flow that is open here
+	ignored                // of a flow that opened at another server
+	refused                // of a flow that the server does not hold, answered with a reset
+)
+
+func (s *Server) handle(p *packet, from netip.Addr, now time.Time) arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.dead {
-		return
+		return opening
 	}
-	k, now := flowKey{p.src, p.dst}, time.Now()
+	k := flowKey{p.src, p.dst}
 	f := s.flows[k]
 	switch {
 	case p.has(syn):
 		s.city.checkOpening(k, s, from, now)
-		if f == nil || f.want != p.seq+1 {
+		if f == nil || f.first != p.seq+1 {
 			isn := rand.Uint32()
-			f = &serverFlow{stream: newStream(isn+1, p.seq+1), isn: isn}
+			f = &serverFlow{stream: newStream(isn+1, p.seq+1), isn: isn, first: p.seq + 1}
 			s.flows[k] = f
 		}
 		f.echo = p.echo
-		s.send(k, f, packet{flags: syn | ack, seq: f.isn, ack: f.want})
-	case f == nil || p.has(rst):
+		s.send(k, f, packet{flags: syn | ack, seq: f.isn, ack: f.first})
+	case p.has(rst):
 		delete(s.flows, k)
-		if !p.has(rst) {
-			s.send(k, &serverFlow{stream: newStream(0, 0), echo: p.echo}, packet{flags: rst, seq: p.ack})
+	case f == nil:
+		return refused
+	case f.opened.IsZero() && p.ack != f.isn+1:
+		if s.resetsHalfOpen() {
+			return refused
 		}
+		return ignored
 	default:
 		s.advance(k, f, p, now)
+		return taken
 	}
+	return opening
+}
+
+// resetsHalfOpen reports how the server treats a packet of a flow whose handshake it
+// began and another server ended: the pages allow a reset and silence.
+func (s *Server) resetsHalfOpen() bool { return s.ID>>21%2 == 0 }
+
+// refuse resets a flow that the server does not hold.
+func (s *Server) refuse(p *packet) {
+	f := serverFlow{stream: newStream(0, 0), echo: p.echo}
+	s.send(flowKey{p.src, p.dst}, &f, packet{flags: rst, seq: p.ack})
 }
 
 func (s *Server) advance(k flowKey, f *serverFlow, p *packet, now time.Time) {
 	f.echo = p.echo
-	if !f.opened && p.ack != f.isn+1 {
-		return // the flow opened at another server
-	}
-	if !f.opened {
-		f.opened = true
+	if f.opened.IsZero() {
+		f.opened = now
 		s.opened++
 	}
 	f.acked(p.ack, now)
--- a/testkit/edge/server_test.go
+++ b/testkit/edge/server_test.go
@@ -16,6 +16,22 @@
 // emptyCity returns a city without instances and callers, at addresses that no test
 // of another working copy uses at the same time.
 func emptyCity(t *testing.T) *City {
+	t.Helper()
+	var c *City
+	t.Cleanup(func() { // runs after the city is closed
+		if c == nil {
+			return
+		}
+		for _, v := range c.Violations() {
+			t.Error(v)
+		}
+	})
+	c = uncheckedCity(t)
+	return c
+}
+
+// uncheckedCity is an emptyCity that may have violations.
+func uncheckedCity(t *testing.T) *City {
 	t.Helper()
 	cfg := DefaultConfig()
 	cfg.Instances, cfg.Callers = 0, 0
@@ -23,12 +39,7 @@
 	for cfg.Net = firstNet; cfg.Net <= lastNet; cfg.Net++ {
 		var c *City
 		if c, err = New(cfg); err == nil {
-			t.Cleanup(func() {
-				c.Close()
-				for _, v := range c.Violations() {
-					t.Error(v)
-				}
-			})
+			t.Cleanup(c.Close)
 			return c
 		}
 	}
