testkit/edge: play planned restarts of servers under their IDs

The scripts had only restarts by a crash, two instances in a domain, and flows that stay for the whole run.

Server.RestartDrained drains, leaves and starts again under the ID, at the same or another address.

--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -276,9 +275,7 @@
 // AddServer starts a server, at the address of one that ended if there is any.
 func (c *City) AddServer(service, domain string) (*Server, error) {
 	c.mu.Lock()
-	c.nextServer++
-	n := c.nextServer
-	addr := netip.AddrPortFrom(c.ip(byte(30+n/250), byte(1+n%250)), 8400)
+	n, addr := c.nextNumber()
 	if len(c.freeAddrs) > 0 {
 		addr, c.freeAddrs = c.freeAddrs[0], c.freeAddrs[1:]
 	}
@@ -287,10 +284,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c.addLive(s)
-	_, err = s.beat()
-	go s.heartbeats(rand.N(checkIn))
-	return s, err
+	return s, s.enter()
+}
+
+// nextNumber returns a new number of a server and the address that belongs to it. The
+// caller holds the lock.
+func (c *City) nextNumber() (int, netip.AddrPort) {
+	c.nextServer++
+	n := c.nextServer
+	return n, netip.AddrPortFrom(c.ip(byte(30+n/250), byte(1+n%250)), 8400)
 }
 
 func (c *City) addLive(s *Server) {
--- a/testkit/edge/instance.go
+++ b/testkit/edge/instance.go
@@ -128,6 +128,14 @@
 	return nil
 }
 
+// restart stops the process gracefully and starts it again.
+func (i *Instance) restart() error {
+	if err := i.Stop(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return i.Start()
+}
+
 // Proxy sets what becomes of its connections to the store.
 func (i *Instance) Proxy(m ProxyMode) {
 	i.trouble(0)
--- a/testkit/edge/load.go
+++ b/testkit/edge/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,7 @@
 	var wg sync.WaitGroup
 	for _, k := range c.callers {
 		for range 2 {
-			wg.Go(func() { k.lookups(ctx) })
+			wg.Go(func() { k.lookups(ctx, math.MaxInt, lookupPause) })
 			wg.Go(func() { k.fresh(ctx, Feed, requestSize, lookupBudget) })
 		}
 		wg.Go(func() { k.fresh(ctx, Upload, uploadSize, uploadBudget) })
@@ -69,13 +70,15 @@
 
 func pause(mean time.Duration) { time.Sleep(mean/2 + rand.N(mean+1)) }
 
-// lookups keeps a flow open for many requests that may be repeated.
-func (k *Caller) lookups(ctx context.Context) {
+// lookups keeps a flow open for a number of requests that may be repeated, with pauses
+// of a mean length between them, and then opens the next.
+func (k *Caller) lookups(ctx context.Context, requests int, mean time.Duration) {
 	var f *flow
+	left := 0
 	for ctx.Err() == nil {
 		began := time.Now()
 		deadline := began.Add(lookupBudget)
-		if f != nil && f.ended() {
+		if f != nil && (f.ended() || left <= 0) {
 			f.end()
 			f = nil
 		}
@@ -85,7 +88,9 @@
 				if f, err = k.open(k.city.Dest(Feed)); err != nil {
 					continue
 				}
+				left = requests
 			}
+			left--
 			if err = f.do(lastID.Add(1), requestSize, deadline); err == nil {
 				break
 			}
@@ -93,7 +98,7 @@
 			f = nil
 		}
 		k.city.note(began, err)
-		pause(lookupPause)
+		pause(mean)
 	}
 	if f != nil {
 		f.end()
--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,34 +21,33 @@
 	// MayFail is the part of the requests that may fail: 0 for planned work.
 	MayFail float64
 	Play    func(*City) error
+	Shape   func(*Config) // changes the city that the script needs, nil for none
 }
 
 // Scripts returns the courses that scenarios and the demo play.
 func Scripts() []Script {
 	const short = 9 * time.Second
 	return []Script{
-		{"roll", "steady", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }},
-		{"roll-mod", "mod", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }},
-		{"replace-servers", "mod", short, 0, (*City).replaceServers},
-		{"kill-all", "steady", short, 0.15, (*City).killAll},
-		{"store-away", "steady", short, 0.05, (*City).restartWithoutStore},
-		{"silent-watch", "steady", short, 0, (*City).changeBehindSilentWatch},
-		{"crash-and-reuse", "mod", short, 0.05, (*City).crashAndReuse},
-		{"failing-servers", "steady", 12 * time.Second, 0.1, (*City).failServers},
-		{"odd-entries", "steady", 16 * time.Second, 0, (*City).leaveOddEntries},
-		{"restart-servers", "steady", 12 * time.Second, 0.1, (*City).restartServers},
-		{"restored-store", "steady", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(0) }},
-		{"restored-store-drain", "mod", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(2) }},
+		{"roll", "steady", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }, nil},
+		{"roll-mod", "mod", 12 * time.Second, 0, func(c *City) error { return c.rollAll() }, nil},
+		{"replace-servers", "mod", short, 0, (*City).replaceServers, nil},
+		{"kill-all", "steady", short, 0.15, (*City).killAll, nil},
+		{"store-away", "steady", short, 0.05, (*City).restartWithoutStore, nil},
+		{"silent-watch", "steady", short, 0, (*City).changeBehindSilentWatch, nil},
+		{"crash-and-reuse", "mod", short, 0.05, (*City).crashAndReuse, nil},
+		{"failing-servers", "steady", 12 * time.Second, 0.1, (*City).failServers, nil},
+		{"odd-entries", "steady", 16 * time.Second, 0, (*City).leaveOddEntries, nil},
+		{"restart-servers", "steady", 12 * time.Second, 0.1, (*City).restartServers, nil},
+		{"restored-store", "steady", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(0) }, nil},
+		{"restored-store-drain", "mod", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(2) }, nil},
+		{"restart-drained-servers", "mod", 20 * time.Second, 0, (*City).restartDrainedServers, oneDomain},
 	}
 }
 
 // rollAll stops each instance gracefully and starts it again.
 func (c *City) rollAll() error {
 	for _, i := range c.Instances {
-		if err := i.Stop(syscall.SIGTERM); err != nil {
-			return err
-		}
-		if err := i.Start(); err != nil {
+		if err := i.restart(); err != nil {
 			return err
 		}
 		time.Sleep(time.Second)
@@ -356,9 +357,75 @@
 	return nil
 }
 
+// oneDomain shapes a city of one domain in which most flows move often.
+func oneDomain(cfg *Config) {
+	cfg.Domains, cfg.Instances, cfg.Servers = cfg.Domains[:1], 8, 48
+	cfg.Work = 5 * time.Millisecond
+	cfg.ApplyBound, cfg.DrainBound = 5*time.Second, 5*time.Second
+}
+
+// restartDrainedServers lets most feed servers leave as planned and starts them again in
+// turn under their IDs, each second one at another address. Half of the instances are
+// stopped and started all the while, so that flows move between instances of which
+// some have just read the store.
+func (c *City) restartDrainedServers() error {
+	const (
+		length   = 18 * time.Second
+		flows    = 50 // of each caller at a time
+		requests = 8  // of a flow
+		request  = 80 * time.Millisecond
+		stay     = 8                       // servers
+		beyond   = 300 * time.Millisecond  // that a server serves beyond the bound
+		away     = 3 * time.Second         // for the first server that starts again
+		gap      = 250 * time.Millisecond  // between two of them
+		running  = 1200 * time.Millisecond // mean, of an instance between two stops
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	var wg sync.WaitGroup
+	var errs errorList
+	for _, k := range c.callers {
+		for range flows {
+			wg.Go(func() { k.lookups(ctx, requests, request) })
+		}
+	}
+	feed := slices.DeleteFunc(c.Servers(), func(s *Server) bool { return s.Service != Feed })
+	for n, s := range feed[stay:] {
+		wg.Go(func() {
+			_, err := s.RestartDrained(c.cfg.DrainBound+beyond, away+time.Duration(n)*gap, n%2 == 1)
+			errs.add(err)
+		})
+	}
+	for _, i := range c.Instances[len(c.Instances)/2:] {
+		wg.Go(func() {
+			for pause(running); ctx.Err() == nil; {
+				errs.add(i.restart())
+				pause(running)
+			}
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs.list...)
+}
+
+// errorList collects errors of several goroutines.
+type errorList struct {
+	mu   sync.Mutex
+	list []error
+}
+
+func (l *errorList) add(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, err)
+}
+
 // Run plays a script under load and returns what became of the requests.
 func Run(cfg Config, s Script) (*Report, error) {
 	cfg.Hash = s.Hash
+	if s.Shape != nil {
+		s.Shape(&cfg)
+	}
 	c, err := New(cfg)
 	if err != nil {
 		return nil, err
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -213,12 +213,47 @@
 	return next, nil
 }
 
+// RestartDrained lets the server leave as planned, after it has served for a while, and
+// starts it again under its ID some time later, at its address or at another one.
+func (s *Server) RestartDrained(serves, away time.Duration, moves bool) (*Server, error) {
+	if err := s.Drain(); err != nil {
+		return nil, err
+	}
+	s.WaitReported()
+	time.Sleep(serves)
+	if !s.Leave() {
+		return nil, trace.NotFound("server %x has ended and cannot restart", s.ID)
+	}
+	time.Sleep(away)
+	addr := s.Addr
+	if moves {
+		s.city.mu.Lock()
+		_, addr = s.city.nextNumber()
+		s.city.mu.Unlock()
+	}
+	next, err := s.city.startServer(s.ID, s.Service, s.Domain, addr)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.enter()
+}
+
+// enter writes the entry of a server that has just started, and keeps it from then on.
+func (s *Server) enter() error {
+	s.city.addLive(s)
+	_, err := s.beat()
+	go s.heartbeats(rand.N(checkIn))
+	return err
+}
+
 // Leave ends a drained server and removes its entry, which lapses if the store is
-// away.
-func (s *Server) Leave() {
-	if s.stop() {
-		s.city.Store.Delete("servers/" + s.name())
+// away. It reports false if the server had ended before.
+func (s *Server) Leave() bool {
+	if !s.stop() {
+		return false
 	}
+	s.city.Store.Delete("servers/" + s.name())
+	return true
 }
 
 // stop ends the server. It reports false if it had ended before.
--- a/testkit/edge/server_test.go
+++ b/testkit/edge/server_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // Second bytes of the addresses of cities without instances.
@@ -163,3 +166,41 @@
 	defer c.mu.Unlock()
 	return c.routes[dest].removed
 }
+
+// Guards against planned restarts that keep the entry while the server is away, that
+// change its ID, or that do not move it.
+func TestRestartDrained(t *testing.T) {
+	for _, moves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("moves=%t", moves), func(t *testing.T) {
+			t.Parallel()
+			c := emptyCity(t)
+			old := c.Servers()[0]
+			all := len(c.Servers())
+			const serves, away = 300 * time.Millisecond, 400 * time.Millisecond
+			restarted := make(chan *Server)
+			go func() {
+				next, err := old.RestartDrained(serves, away, moves)
+				if err != nil {
+					t.Error(err)
+				}
+				restarted <- next
+			}()
+			time.Sleep(serves / 2)
+			state, _ := entryOf(t, old)
+			expect(t, "state while it serves", state, "draining")
+			time.Sleep(serves/2 + away/2)
+			state, _ = entryOf(t, old)
+			expect(t, "state while it is away", state, "")
+			expect(t, "servers while it is away", len(c.Servers()), all-1)
+			next := <-restarted
+			state, born := entryOf(t, next)
+			expect(t, "state after the restart", state, "ready")
+			expect(t, "start", born, next.born)
+			expect(t, "ID", next.ID, old.ID)
+			expect(t, "has another address", next.Addr != old.Addr, moves)
+			if _, err := old.RestartDrained(0, 0, moves); !trace.IsNotFound(err) {
+				t.Errorf("restart of a server that has ended: %v", err)
+			}
+		})
+	}
+}
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -189,10 +189,7 @@
 	i.busy.Lock()
 	defer i.busy.Unlock()
 	s.event(0, "stop %s gracefully and start it", i.Name())
-	if err := i.Stop(syscall.SIGTERM); err != nil {
-		return err
-	}
-	return i.Start()
+	return i.restart()
 }
 
 func (s *soak) pause() error {
