testkit/edge: play an instance that freezes while flows open

The script frozen-instance freezes an instance for 3 s while flows open. Each has a request at once and one when the instance has been in touch again.

--- a/testkit/edge/instance.go
+++ b/testkit/edge/instance.go
@@ -136,6 +136,16 @@
 	return i.Start()
 }
 
+// freeze stops the process for a while, from which it goes on as it was.
+func (i *Instance) freeze(lasts time.Duration) error {
+	if err := i.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	i.trouble(lasts)
+	time.Sleep(lasts)
+	return i.Signal(syscall.SIGCONT)
+}
+
 // Proxy sets what becomes of its connections to the store.
 func (i *Instance) Proxy(m ProxyMode) {
 	i.trouble(0)
--- a/testkit/edge/load.go
+++ b/testkit/edge/load.go
@@ -134,3 +134,22 @@
 		pause(freshPause)
 	}
 }
+
+// useTwice opens a flow for two requests, the second at a later time.
+func (k *Caller) useTwice(later time.Time) {
+	began := time.Now()
+	f, err := k.open(k.city.Dest(Feed))
+	if err == nil {
+		err = f.do(lastID.Add(1), requestSize, began.Add(flowBound))
+		if err == nil {
+			time.Sleep(time.Until(later))
+			if !f.ended() {
+				k.city.note(began, nil)
+				began = time.Now()
+				err = f.do(lastID.Add(1), requestSize, began.Add(flowBound))
+			}
+		}
+		f.finish(err)
+	}
+	k.city.note(began, err)
+}
--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -41,6 +41,7 @@
 		{"restored-store", "steady", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(0) }, nil},
 		{"restored-store-drain", "mod", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(2) }, nil},
 		{"restart-drained-servers", "mod", 20 * time.Second, 0, (*City).restartDrainedServers, oneDomain},
+		{"frozen-instance", "steady", 16 * time.Second, 0.15, (*City).freezeInstance, nil},
 	}
 }
 
@@ -408,6 +409,33 @@
 	return errors.Join(errs.list...)
 }
 
+// freezeInstance freezes an instance while callers of its domain open flows, some of whose
+// SYNs wait in its socket. Each flow has a request at once, and one when the instance
+// has been in touch again for a while.
+func (c *City) freezeInstance() error {
+	const (
+		frozen = 3 * time.Second
+		flows  = 200
+		gap    = 10 * time.Millisecond // between two openings
+		beyond = 500 * time.Millisecond
+	)
+	i := c.Instances[0]
+	again := time.Now().Add(frozen + c.cfg.Settle + beyond)
+	var wg sync.WaitGroup
+	var errs errorList
+	wg.Go(func() { errs.add(i.freeze(frozen)) })
+	callers := slices.DeleteFunc(slices.Clone(c.callers), func(k *Caller) bool { return k.domain != i.Domain })
+	for n := range flows {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * gap)
+			callers[n%len(callers)].useTwice(again.Add(time.Duration(n) * gap))
+		})
+	}
+	wg.Wait()
+	time.Sleep(flowBound) // the last packets are judged
+	return errors.Join(errs.list...)
+}
+
 // errorList collects errors of several goroutines.
 type errorList struct {
 	mu   sync.Mutex
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -197,12 +197,7 @@
 	i.busy.Lock()
 	defer i.busy.Unlock()
 	s.event(lasts, "pause %s", i.Name())
-	if err := i.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	i.trouble(lasts)
-	time.Sleep(lasts)
-	return i.Signal(syscall.SIGCONT)
+	return i.freeze(lasts)
 }
 
 func (s *soak) hangup() error {
