testkit/edge: draw planned restarts, rolls and freezes in series in the soak

The soak drew no planned restart of a server under its ID, its instances were rarely in touch again after a freeze, and no flow was idle for some seconds.

A third of the seeds now has two series of planned restarts of servers and rolls, with four instances in a domain, and a third has a series of freezes. They are drawn apart, so that the other faults of a seed stay as they were. In all runs callers also open flows that are idle for 4 to 8 s.

The soak now waits 100 ms after a start.

--- a/testkit/edge/instance.go
+++ b/testkit/edge/instance.go
@@ -30,6 +30,7 @@
 	addr   netip.Addr
 	proxy  *proxy
 	cmd    *exec.Cmd
+	began  time.Time     // start of the process
 	ended  chan struct{} // closed when the process has ended
 	busy   sync.Mutex    // held by the series of faults that signals or starts the process
 
@@ -85,7 +86,7 @@
 	if err := i.cmd.Start(); err != nil {
 		return trace.Wrap(err, "start of %s", i.Name())
 	}
-	i.ended = make(chan struct{})
+	i.began, i.ended = time.Now(), make(chan struct{})
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		// The exit code of a killed process says nothing.
 		_ = cmd.Wait()
--- a/testkit/edge/load.go
+++ b/testkit/edge/load.go
@@ -19,6 +19,9 @@
 	uploadSize   = 20_000                 // bytes
 	requestSize  = 300                    // bytes
 	retries      = 2                      // of a request that may be repeated
+	fewRequests  = 6                      // of a flow that ends soon
+	idlePause    = 100 * time.Millisecond // mean, between flows that are idle for a while
+	idleMost     = 4 * time.Second        // that a flow is idle beyond the time until instances are in touch
 )
 
 // sample is the outcome of one request.
@@ -135,6 +138,17 @@
 	}
 }
 
+// idle opens flows until ctx is done, which are idle for some seconds between two
+// requests.
+func (k *Caller) idle(ctx context.Context) {
+	var wg sync.WaitGroup
+	for ctx.Err() == nil {
+		wg.Go(func() { k.useTwice(time.Now().Add(k.city.cfg.Settle + rand.N(idleMost))) })
+		pause(idlePause)
+	}
+	wg.Wait()
+}
+
 // useTwice opens a flow for two requests, the second at a later time.
 func (k *Caller) useTwice(later time.Time) {
 	began := time.Now()
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -66,6 +66,7 @@
 func Soak(cfg Config, seed uint64, length time.Duration) (*Report, error) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	cfg.Hash = []string{"steady", "mod"}[rnd.IntN(2)]
+	more := drawSeries(rand.New(rand.NewPCG(seed, 0)), &cfg)
 	c, err := New(cfg)
 	if err != nil {
 		return nil, err
@@ -84,6 +85,13 @@
 	if rnd.IntN(2) == 0 {
 		series = append(series, (*soak).restoreStores)
 	}
+	series = append(series, more...)
+	for _, k := range c.callers {
+		rec.wg.Go(func() { k.idle(ctx) })
+		for range len(more) {
+			rec.wg.Go(func() { k.lookups(ctx, fewRequests, lookupPause) })
+		}
+	}
 	errs := make([]error, len(series))
 	for n, play := range series {
 		s := &soak{c, rand.New(rand.NewPCG(seed, uint64(2+n))), &rec}
@@ -115,6 +123,20 @@
 	return faults
 }
 
+// drawSeries returns further series of a run, with the city that they need: planned
+// restarts in a third of the runs, freezes in a third. They are drawn apart, so that the
+// other faults of a seed stay.
+func drawSeries(rnd *rand.Rand, cfg *Config) []func(*soak, context.Context) error {
+	switch rnd.IntN(3) {
+	case 0:
+		cfg.Instances = 4
+		return []func(*soak, context.Context) error{(*soak).restartInTurn, (*soak).restartInTurn}
+	case 1:
+		return []func(*soak, context.Context) error{(*soak).freezeInTurn}
+	}
+	return nil
+}
+
 // disturb makes faults one after the other, which overlap, until ctx is done.
 func (s *soak) disturb(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -200,11 +222,66 @@
 	return i.freeze(lasts)
 }
 
+// restartInTurn lets servers leave as planned, which start again under their IDs, and
+// rolls instances one after the other, until ctx is done.
+func (s *soak) restartInTurn(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for range 1 + s.rnd.IntN(3) {
+			s.restartDrained()
+		}
+		if err := s.roll(); err != nil {
+			return err
+		}
+		time.Sleep(s.between(0, 1500))
+	}
+	return nil
+}
+
+// freezeInTurn freezes instances until ctx is done, with times between in which they are
+// in touch again.
+func (s *soak) freezeInTurn(ctx context.Context) error {
+	for ctx.Err() == nil {
+		time.Sleep(s.between(0, 2000))
+		if err := s.pause(); err != nil {
+			return err
+		}
+		time.Sleep(s.c.cfg.Settle + s.between(0, 2000))
+	}
+	return nil
+}
+
+// restartDrained restarts a server under its ID, at the same or another address, unless
+// too many of its service are away.
+func (s *soak) restartDrained() {
+	old, serves, away, moves := s.server(), s.c.cfg.DrainBound+s.between(300, 2000), s.between(0, 6000), s.rnd.IntN(2) == 0
+	stay := 0
+	for _, x := range s.c.Servers() {
+		if x.Service == old.Service && !x.Draining() {
+			stay++
+		}
+	}
+	if 2*stay <= s.c.cfg.Servers*len(s.c.cfg.Domains) {
+		return
+	}
+	s.event(serves+away, "server %x leaves, and starts again after %s, at another address: %t", old.ID, away, moves)
+	s.later(0, func() error {
+		if _, err := old.RestartDrained(serves, away, moves); !trace.IsNotFound(err) {
+			return err
+		}
+		return nil // it has crashed meanwhile
+	})
+}
+
+// hangupAfter is the shortest time from the start of a process to a SIGHUP.
+const hangupAfter = 100 * time.Millisecond
+
 func (s *soak) hangup() error {
 	i := s.instance()
 	i.busy.Lock()
 	defer i.busy.Unlock()
 	s.event(0, "reload %s", i.Name())
+	// Until a process handles SIGHUP, the signal ends it.
+	time.Sleep(time.Until(i.began.Add(hangupAfter)))
 	return i.Signal(syscall.SIGHUP)
 }
 
