Tell followers of servers that came and went between two updates

Cause: a peer that has read the entry of a new server and its removal passes on only the removal. The entry may have expired, or have been refused by the store, while the server runs. The peer goes on placing flows there for up to 2.5 s. Its follower does not know the server and, a minute after its last full list, resets the flow.

Change: the difference has the entry before its removal, as the history of the store has it.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -522,3 +522,21 @@
 	c.AddPartial(second, fromStore(&Change{Servers: []Server{odd, server(2, 4)}}))
 	g.Expect(serverIDs(c.ServersOf("feed"))).To(ConsistOf(ServerID(2)))
 }
+
+// Guards against a follower that takes the token of a running server for unknown, since the server's entry came and went between two updates.
+func TestFollowerLearnsOfServersThatCameAndWent(t *testing.T) {
+	g := NewWithT(t)
+	source, follower := New(), New()
+	for _, c := range []*Catalog{source, follower} {
+		c.Apply(second, second, second, &Change{Revision: 1, Full: true, Config: config(1)})
+	}
+	source.Apply(2*second, 2*second, second, &Change{
+		Revision: 3, Servers: []Server{server(7, 2)}, Removed: []Removal{{ID: 7, Revision: 3}},
+	})
+	follower.Apply(2*second, 2*second, second, source.Since(2*second, follower.Position(), 1, false))
+	for _, c := range []*Catalog{source, follower} {
+		s := c.ByToken(token.ForServer(7))
+		g.Expect(s).NotTo(BeNil())
+		g.Expect(s.Published()).To(BeFalse())
+	}
+}
--- a/core/catalog/share.go
+++ b/core/catalog/share.go
@@ -20,12 +20,13 @@
 		case !s.Published():
 			if !ch.Full && s.removedRevision > after.Revision {
 				ch.Removed = append(ch.Removed, Removal{ID: id, Revision: s.removedRevision})
+				if s.Revision > after.Revision {
+					// It came and went since, and may be running.
+					ch.Servers = append(ch.Servers, s.shared(now))
+				}
 			}
 		case ch.Full || s.Revision > after.Revision:
-			entry := *s
-			// The receiver counts the warm-up from when it first sees the server.
-			entry.WarmUp = max(0, s.FirstSeen+s.WarmUp-now)
-			ch.Servers = append(ch.Servers, entry)
+			ch.Servers = append(ch.Servers, s.shared(now))
 		}
 	}
 	for id, r := range c.unknownRemoved {
@@ -36,6 +37,14 @@
 	return ch
 }
 
+// shared returns the entry of a server for a peer, which counts the warm-up from when it
+// first sees the server.
+func (s *Server) shared(now time.Duration) Server {
+	entry := *s
+	entry.WarmUp = max(0, s.FirstSeen+s.WarmUp-now)
+	return entry
+}
+
 // addConfig adds the configuration to a change, for a peer that has a version.
 func (c *Catalog) addConfig(ch *Change, version Version, diff bool) {
 	if diff && version > 0 {
