--- a/node/edge/receive.go
+++ b/node/edge/receive.go
@@ -54,7 +54,7 @@
 	}); err != nil || sizeErr != nil {
 		return nil, trace.Wrap(errors.Join(err, sizeErr), "read the buffer size of the packet socket %s", conn.LocalAddr())
 	}
-	// Without a size that tells, the socket holds what was asked for.
+	// Where less is reported than was asked for, the socket may still hold that.
 	capacity := max(size, socketBuffer) / minPacketMemory
 	r := &packetReader{conn: conn, raw: raw, clock: clk, markSpacing: capacity/readMarks + 1}
 	r.tryRead = r.readOnce
