Expect readiness after the whole list in TestPacketsBeforeTheFirstList

Cause: a race in the test. The SYN is placed by the first page of the list, and readiness follows the whole list, a moment later.

--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -247,7 +247,8 @@
 	l.Expect(l.receive(100 * time.Millisecond)).To(BeEmpty())
 	l.store.setError(nil)
 	l.Expect(l.receive(2 * time.Second)).To(Equal("host-1 SYN"))
-	l.Expect(l.readyStatus(1)).To(Equal(http.StatusOK))
+	// The SYN is placed by the first page, readiness follows the whole list.
+	l.Eventually(func() int { return l.readyStatus(1) }).Should(Equal(http.StatusOK))
 	l.Expect(i.log.String()).To(ContainSubstring("waited="))
 }
 
