Answer the gossip of an instance that knows nobody

A restarted instance knew no member for up to a second: its peers had forgotten it when it left, had heard of it from each other since, and answer the gossip of new members only.

The gossip of a member that lists nobody is answered as well.

TestRestartedInstanceIsAnsweredThoughItIsKnown fails without the change (0 answers).

--- a/node/edge/follow_test.go
+++ b/node/edge/follow_test.go
@@ -10,8 +10,10 @@
 	. "github.com/onsi/gomega"
 
 	"egrettack.example/core/catalog"
+	"egrettack.example/core/fleet"
 	"egrettack.example/settings/document"
 	"egrettack.example/settings/edge"
+	wire "egrettack.example/wire/fleet"
 )
 
 // manualClock is a clock that a test sets.
@@ -145,3 +147,25 @@
 	read()
 	l.Expect(l.store.callCount()).To(Equal(calls + 2))
 }
+
+// Guards against an instance that knows nobody for a second after a restart: its peers have heard of it from each other since its stop.
+func TestRestartedInstanceIsAnsweredThoughItIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	i := newIdleInstance(&manualClock{time: time.Second}, &partStore{})
+	i.catalog.Apply(1, 1, 1, &catalog.Change{Revision: 1, Full: true, Config: &catalog.Config{Version: 1}})
+	var answers int
+	i.peers.send = func(b []byte, _ netip.AddrPort) error {
+		m, err := wire.Decode(b)
+		g.Expect(err).NotTo(HaveOccurred())
+		if m.Kind == wire.Gossip {
+			answers++
+		}
+		return nil
+	}
+	peer := fleet.Identity{Addr: netip.MustParseAddr("10.0.0.2"), Domain: "a"}
+	i.peers.fleet.RecordGossip(time.Second, peer, time.Second)
+	b, err := wire.Encode(&wire.Message{Kind: wire.Gossip, Domain: "a"})
+	g.Expect(err).NotTo(HaveOccurred())
+	i.handlePeerMessage(t.Context(), peer.Addr, b)
+	g.Expect(answers).To(Equal(1))
+}
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -101,7 +101,9 @@
 		i.updateSource(now)
 		return
 	}
-	if i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity}) && !i.state.stopping {
+	isNew := i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity})
+	// A member may have started again since others told of it, and know nobody.
+	if (isNew || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
 	i.peers.fleet.SetStoreUnreachable(now, from, m.StoreUnreachable)
