List all members of a small fleet in gossip

A sample of members had the first-ranked ones in its first and last place, in place of others, also when it had room for all. A restarted instance of a fleet of five then knew two or three of its four peers for a second or more. In the trial with late SYN+ACKs one flow was reset at an instance that had not been told of it for that reason.

TestSampleHasAllMembersOfASmallFleet fails without the change.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -295,3 +295,18 @@
 	f.Tick(time.Second, StoreAccess{})
 	g.Expect(f.DomainSize()).To(Equal(1))
 }
+
+// Guards against members of a small fleet that a restarted one does not hear of for seconds.
+func TestSampleHasAllMembersOfASmallFleet(t *testing.T) {
+	g := NewWithT(t)
+	for n := 2; n <= GossipSampleSize+1; n++ {
+		f := connectedFleets(n, 2)[addr(0)]
+		for range 20 {
+			listed := make(map[netip.Addr]bool)
+			for _, m := range f.Sample("d0", GossipSampleSize) {
+				listed[m.Addr] = true
+			}
+			g.Expect(listed).To(HaveLen(n - 1))
+		}
+	}
+}
--- a/core/fleet/gossip.go
+++ b/core/fleet/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -52,11 +53,14 @@
 
 // Sample returns up to n members for gossip to a member of the given domain: the
 // first-ranked ones, overall and in that domain, because all others follow them,
-// and random ones, mostly of that domain.
+// and random ones, mostly of that domain. If there are no more than n, it returns all.
 func (f *Fleet) Sample(domain string, n int) []*Member {
 	if n == 0 || len(f.ranked) == 0 {
 		return nil
 	}
+	if len(f.ranked) <= n {
+		return slices.Clone(f.ranked)
+	}
 	var sameDomain, otherDomains []*Member
 	for _, m := range f.ranked {
 		if m.Domain == domain {
