Deliver contested flows where they were seen to open

Cause: two servers answer copies of one SYN. The caller returns the token of the answer that came last, which need not be that of the server whose answer it acknowledged. Only the instance that had placed both copies knew better; after a change of the rotation another one delivered by the token.

A flow to whose SYN several servers may answer is contested now. The instance that places such a copy tells the peers that the routers may send the flow to, before it sends the copy; the first packet after the handshake waits until they have told whether one of them has seen the flow open; what was seen first counts for all, whatever token comes later. A token that changes at an instance shows a contest as well. Instances that start get the contested flows and the members of their domain from their peers before they are ready, those that stop leave when another one has them. This replaces staysAt, which gave way when the caller acknowledged more data.

Tests that changed: packets of contested flows are decided on by DecideContested after nobody has answered (fixture.decide), with the same expectations. TestReusedPortThroughAnotherInstance gave the second of two new flows the sequence number of the first, whose token then seems to change; each has a fixture of its own now. The model no longer excuses packets with the token of a late answer.

--- a/core/steer/alive_test.go
+++ b/core/steer/alive_test.go
@@ -102,7 +102,7 @@
 	l.now += 200 * time.Millisecond
 	second := l.sendSYN(from, feed, 1).Server
 	l.now += 300 * time.Millisecond
-	l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 151, Ack: 1000, Len: 50, Token: second.Token})
+	l.decide(&Packet{Caller: from, Dest: feed, ACK: true, Seq: 151, Ack: 1000, Len: 50, Token: second.Token})
 	// The first server has sent more, and its token with it.
 	for seq := uint32(201); seq < 601; seq += 50 {
 		l.now += 50 * time.Millisecond
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"egrettack.example/core/catalog"
@@ -30,6 +31,9 @@
 	spills            map[string]*spillWindow // by service
 	residences        map[string]*residence   // by service
 	orphans           map[Key]*orphan
+	contests          map[Key]*contest
+	contestOrder      []Key // of contests, in order of their creation
+	contestNews       []Key // for TakeContests
 
 	profiles      map[netip.AddrPort]*outlier.ResponseProfile // by destination
 	lastDetection time.Duration                               // last run of detectOutliers
@@ -49,6 +53,7 @@
 
 		residences: make(map[string]*residence),
 		orphans:    make(map[Key]*orphan),
+		contests:   make(map[Key]*contest),
 
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x7374656572)),
 	}
@@ -108,6 +113,9 @@
 	if f != nil && f.isOpen(p) {
 		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
 	}
+	if c := e.contestOf(key, p.Seq); c != nil && c.synSeq == p.Seq && c.server != 0 {
+		return Verdict{Action: Drop, Reason: Duplicate, Server: e.catalog.ByToken(c.server)}
+	}
 	if f != nil && f.synSeq != p.Seq {
 		// The caller reuses the address and port for a new flow.
 		e.removeFlow(key, f)
@@ -126,6 +134,10 @@
 		return Verdict{Action: Reset, Reason: NoServer}
 	}
 	delete(e.orphans, key)
+	if f != nil && !slices.Contains(f.tried, at.server) || f == nil && p.Retransmits > 0 {
+		e.noteContest(now, key, p.Seq)
+		e.tellContest(key)
+	}
 	if f == nil {
 		f = &flowEntry{synSeq: p.Seq, nextSeq: p.Seq + 1}
 		e.flows[key] = f
@@ -143,18 +155,23 @@
 }
 
 // deliver forwards a packet of an open flow to the server that its token
-// identifies.
+// identifies, or to that where a contested flow was seen open.
 func (e *Engine) deliver(now time.Duration, p *Packet, route *catalog.Route) Verdict {
 	key := p.Key()
-	s := e.catalog.ByToken(p.Token)
 	f := e.flows[key]
 	if f != nil && !f.covers(p.Seq) {
 		// The caller uses its port again, and the new flow began at another instance.
 		e.removeFlow(key, f)
 		f = nil
 	}
-	if e.staysAt(f, s, p) {
-		s = e.catalog.Latest(f.server)
+	s := e.catalog.ByToken(p.Token)
+	c := e.reviewContest(now, key, f, s, p)
+	switch {
+	case c == nil || c.server == p.Token:
+	case c.server != 0:
+		s = e.catalog.ByToken(c.server)
+	case p.Token != 0 && !p.RST:
+		return Verdict{Action: Ask, Reason: Contested}
 	}
 	if s != nil {
 		e.observeSilence(now, f, s, p)
@@ -173,23 +190,11 @@
 		return e.deliverToEnded(now, p, f, s, presence)
 	}
 	delete(e.orphans, key)
-	return Verdict{Action: Forward, Reason: Token, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
-}
-
-// staysAt reports whether a packet goes to the server that this instance has seen its
-// flow at, and not to the one that its token identifies. Several servers may have
-// answered the SYN and its retransmissions, also by way of another instance. The caller
-// returns the token that it received last, but the flow is open at the server that the
-// first packet after the handshake went to, and that has sent data since.
-func (e *Engine) staysAt(f *flowEntry, s *catalog.Server, p *Packet) bool {
-	if f == nil || !f.established {
-		return false
-	}
-	progress := int32(p.Ack-f.highestAck) > 0 // sequence numbers wrap around
-	if progress && s != nil && s == e.catalog.Latest(f.server) {
-		f.confirmed = true
-	}
-	return f.confirmed || len(f.tried) > 0 && !progress
+	reason := Token
+	if c != nil && c.server != 0 && c.server != p.Token {
+		reason = Contested
+	}
+	return Verdict{Action: Forward, Reason: reason, Server: s, ResponseTime: e.observePacket(now, key, f, s, p)}
 }
 
 // DecideHeld decides again on a held packet, after the catalog was updated.
@@ -201,7 +206,7 @@
 	}
 	// The store was read since the packet arrived, and has no route to the address or
 	// no server with the token. There may have been one.
-	known := e.catalog.KnowsServerOf(now, p.Token)
+	known := e.catalog.KnowsServerOf(now, e.tokenOf(p))
 	if v.Reason == NoRoute {
 		known = e.catalog.RouteRemoved(p.Dest) || e.catalog.KnowsAllRoutes(now)
 	}
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -69,7 +69,16 @@
 
 // completeHandshake decides on the first packet after the handshake with a server.
 func (l *fixture) completeHandshake(from, to netip.AddrPort, s *catalog.Server) Verdict {
-	return l.engine.Decide(l.now, &Packet{Caller: from, Dest: to, ACK: true, Seq: 101, Ack: 1, Token: s.Token})
+	return l.decide(&Packet{Caller: from, Dest: to, ACK: true, Seq: 101, Ack: 1, Token: s.Token})
+}
+
+// decide decides on a packet. No peer knows anything of its flow.
+func (l *fixture) decide(p *Packet) Verdict {
+	v := l.engine.Decide(l.now, p)
+	if v.Action == Ask {
+		v = l.engine.DecideContested(l.now, p)
+	}
+	return v
 }
 
 func (l *fixture) serverByID(id catalog.ServerID) (found *catalog.Server) {
@@ -432,14 +441,16 @@
 // caller used its port again, the earlier flow ended and the new one began at
 // another instance, and this one still has the entry of the earlier flow.
 func TestReusedPortThroughAnotherInstance(t *testing.T) {
-	l := newFixture(t)
-	from := l.newCaller()
-	first := l.sendSYN(from, feed, 0).Server
-	l.now += 200 * time.Millisecond
-	second := l.sendSYN(from, feed, 1).Server
-	l.completeHandshake(from, feed, first)
-	third := l.serverByID(3)
-	for _, next := range []*catalog.Server{third, second} {
+	for _, isThird := range []bool{true, false} {
+		l := newFixture(t)
+		from := l.newCaller()
+		first := l.sendSYN(from, feed, 0).Server
+		l.now += 200 * time.Millisecond
+		next := l.sendSYN(from, feed, 1).Server
+		l.completeHandshake(from, feed, first)
+		if isThird {
+			next = l.serverByID(3)
+		}
 		// The sequence numbers of a new flow begin anywhere.
 		v := l.engine.Decide(l.now, &Packet{Caller: from, Dest: feed, ACK: true, Seq: 1 << 30, Ack: 1, Len: 10, Token: next.Token})
 		l.Expect(v.Action).To(Equal(Forward))
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -39,10 +39,13 @@
 	nextSeq     uint32            // end of the data seen
 	highestAck  uint32            // highest acknowledgement seen
 	established bool              // a packet after the handshake was seen
-	confirmed   bool              // the caller has acknowledged data with the token of server
-	lastPacket  time.Duration
-	handshake   time.Duration // from the SYN to the first packet after the handshake, 0 if not known
-	spill       spill
+	firstSeq    uint32            // of the first such packet
+	// confirmed: the first packet after the handshake had the token of server, to which this
+	// instance had sent the SYN, or the caller has acknowledged data with it.
+	confirmed  bool
+	lastPacket time.Duration
+	handshake  time.Duration // from the SYN to the first packet after the handshake, 0 if not known
+	spill      spill
 
 	request request
 }
@@ -189,7 +192,7 @@
 		if p.FIN {
 			return 0
 		}
-		f = &flowEntry{nextSeq: p.Seq, highestAck: p.Ack, established: true, server: s, lastPacket: now}
+		f = &flowEntry{nextSeq: p.Seq, highestAck: p.Ack, established: true, firstSeq: p.Seq, server: s, lastPacket: now}
 		e.flows[key] = f
 		e.state(s).openFlows++
 	}
@@ -200,6 +203,7 @@
 	}
 	if !f.established {
 		f.noteHandshake(now)
+		f.firstSeq = p.Seq
 	}
 	before := f.lastPacket
 	f.lastPacket = now
@@ -242,14 +246,19 @@
 	}
 }
 
+// idleTimeout returns the time after which an idle flow may be discarded.
+func (e *Engine) idleTimeout() time.Duration {
+	if c := e.catalog.Config(); c != nil && c.IdleTimeout > 0 {
+		return c.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
 // Tick removes idle flows, expires requests and compares the failure rates of the
 // servers. It returns the servers that became outliers or ceased to be.
 func (e *Engine) Tick(now time.Duration) []OutlierEvent {
 	e.detectPause(now)
-	idleTimeout := defaultIdleTimeout
-	if c := e.catalog.Config(); c != nil && c.IdleTimeout > 0 {
-		idleTimeout = c.IdleTimeout
-	}
+	idleTimeout := e.idleTimeout()
 	if len(e.sweepQueue) == 0 {
 		for k := range e.flows {
 			e.sweepQueue = append(e.sweepQueue, k)
@@ -269,6 +278,7 @@
 	}
 	e.sweepQueue = e.sweepQueue[n:]
 	e.expireOrphans(now)
+	e.expireContests(now)
 	for s, st := range e.states {
 		// The response of a server without an entry shows that it runs.
 		responded := s.MissingSince > 0 && st.lastResponse >= s.MissingSince && e.catalog.IsKept(s)
--- a/core/steer/model_test.go
+++ b/core/steer/model_test.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -57,12 +56,12 @@
 // plannedKinds are the troubles of the servers and routers alone.
 var plannedKinds = []string{
 	"restart server", "restart server", "restart server", "move server", "move server", "crash server", "leave", "replace",
-	"hash", "hash",
+	"hash", "hash", "restart instance", "restart instance", "restart instance",
 }
 
 var worldKinds = slices.Concat(plannedKinds, []string{
 	"refuse entry", "cut server", "store outage", "compact", "restore",
-	"freeze", "freeze", "cut", "unlisted", "unlisted", "restart instance", "restart instance",
+	"freeze", "freeze", "cut", "unlisted", "unlisted",
 })
 
 // newTrouble makes a trouble of a number. Numbers that rapid draws itself for times and
@@ -131,13 +130,10 @@
 		n.cut(worldEntryLifetime + x.duration)
 		w.startUnlisted(x)
 	case "restart instance":
-		if n.running && n.frozenAt == 0 {
-			n.inRotation = false
-			n.run(worldMissedProbes, func() {
-				n.stop()
-				w.after(x.duration/4, n.start)
-			})
-			w.disturb(w.now + worldMissedProbes + x.duration/4)
+		if n.running && !n.stopping && n.frozenAt == 0 && n.hasPeerThatStays(0) {
+			n.inRotation, n.stopping = false, true
+			n.run(worldMissedProbes, func() { n.stopGracefully(w.now+worldGrace, x.duration/4) })
+			w.disturb(w.now + worldMissedProbes + worldGrace + x.duration/4)
 		}
 	case "hash":
 		w.salt++
@@ -171,6 +167,7 @@
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), store: newWorldStore(),
 		running: make(map[netip.AddrPort]*worldServer), servers: make(map[catalog.ServerID]*worldServer),
 		flows: make(map[Key]*worldFlow), halfOpen: rapid.Bool().Draw(t, "ignore half-open"),
+		keepsToken: rapid.Bool().Draw(t, "callers keep the token of their server"),
 	}
 	for i := range worldServers {
 		w.newServer(worldServices[i/3])
@@ -211,7 +208,7 @@
 // has been cut from its callers.
 func (w *world) checkReset(n *worldInstance, f *worldFlow, v Verdict, p *Packet) {
 	w.stats.resets++
-	if f.heldOpen() && !f.holder.cut() && !w.hasTokenOfLateAnswer(f, p) {
+	if f.heldOpen() && !f.holder.cut() {
 		w.fail("instance %d resets flow %s (SYN %v, reason %s, presence %s), which has the token of server %d and is open at server %d, start %d, %s",
 			n.index, f.key.Caller, p.SYN, v.Reason, v.Presence, f.tokenOf.entry.ID, f.holder.entry.ID, f.holder.entry.Started, f.holder.entry.Addr)
 	}
@@ -224,7 +221,7 @@
 		f.elsewhere = nil
 		return
 	}
-	if !n.calm() || f.holder.cut() || w.hasTokenOfLateAnswer(f, p) {
+	if !n.calm() || f.holder.cut() {
 		return
 	}
 	f.elsewhere = append(f.elsewhere, w.now)
@@ -237,41 +234,19 @@
 // checkRefusal fails if a server resets a flow that is open at another one, to which an
 // instance in touch has sent a packet of it.
 func (w *world) checkRefusal(n *worldInstance, f *worldFlow, s *worldServer, p *Packet) {
-	if !f.heldOpen() || s == f.holder || !n.calm() || f.holder.cut() || w.hasTokenOfLateAnswer(f, p) {
+	if !f.heldOpen() || s == f.holder || !n.calm() || f.holder.cut() {
 		return
 	}
 	w.fail("server %d, start %d resets flow %s, whose packet instance %d sent there; it is open at server %d, start %d, and has the token of server %d",
 		s.entry.ID, s.entry.Started, f.key.Caller, n.index, f.holder.entry.ID, f.holder.entry.Started, f.tokenOf.entry.ID)
 }
 
-// hasTokenOfLateAnswer reports whether a packet has the token of another server than that
-// of the flow, which got a copy of the SYN in time: its answer came after that of the own
-// one. This is a known limit, which is counted.
-func (w *world) hasTokenOfLateAnswer(f *worldFlow, p *Packet) bool {
-	own := f.holder.entry.ID
-	if p.SYN || p.Token == token.ForServer(uint64(own)) {
-		return false
-	}
-	here := false
-	for _, id := range slices.Sorted(maps.Keys(f.placements)) {
-		if p.Token != token.ForServer(uint64(id)) {
-			continue
-		}
-		for _, other := range f.placements[id] {
-			if !other.inTime {
-				continue
-			}
-			if !slices.ContainsFunc(f.placements[own], func(x worldPlacement) bool { return x.instance == other.instance }) {
-				w.stats.lateElsewhere++
-				return true
-			}
-			here = true
-		}
-	}
-	if here {
-		w.stats.lateHere++
+// countLateAnswer counts a packet that has the token of another server than that of the
+// flow, whose answer to a copy of the SYN came after that of the own one.
+func (w *world) countLateAnswer(f *worldFlow, p *Packet) {
+	if f.heldOpen() && !p.SYN && p.Token != token.ForServer(uint64(f.holder.entry.ID)) {
+		w.stats.lateTokens++
 	}
-	return here
 }
 
 // checkLiveness fails if a caller gets no answer though its server has left for good, and
@@ -294,8 +269,7 @@
 //
 // A reset is excused only while the flow's server is cut from its callers, or shortly
 // after. Misdirected packets and resets by other servers are excused as well if the
-// instance was in trouble, or the store. Packets with the token of another server that
-// got a copy of the SYN in time are counted instead.
+// instance was in trouble, or the store. Planned restarts of instances excuse nothing.
 func TestOpenFlowsStayAtTheirServers(t *testing.T) {
 	var total worldStats
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/steer/overload_test.go
+++ b/core/steer/overload_test.go
@@ -273,6 +273,9 @@
 		return
 	}
 	v := i.engine.Decide(r.now, p)
+	if v.Action == Ask {
+		v = i.engine.DecideContested(r.now, p) // all packets of a flow go to one instance
+	}
 	i.carryOut(a, p, v)
 	if v.ResponseTime > 0 || p.FIN {
 		i.placeWaiting()
--- a/core/steer/packet.go
+++ b/core/steer/packet.go
@@ -42,10 +42,11 @@
 	Reset // reset the flow towards the caller
 	Hold  // keep the packet and decide again when the catalog has been updated
 	Queue // keep the SYN and decide again when the servers have room
+	Ask   // keep the packet, ask the peers about its flow, and decide with DecideContested
 	numActions
 )
 
-var actionNames = [numActions]string{"drop", "forward", "reset", "hold", "queue"}
+var actionNames = [numActions]string{"drop", "forward", "reset", "hold", "queue", "ask"}
 
 func (a Action) String() string { return actionNames[a] }
 
@@ -67,11 +68,12 @@
 	Duplicate                  // a copy of a SYN that was forwarded just before
 	NotRepeated                // a SYN that waited, and whose next copy was not read in time
 	Late                       // a SYN that arrived long ago: see Packet.ValidFor
+	Contested                  // several servers may have answered the SYN of the flow: see Contest
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
-	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token", "no_room", "duplicate", "not_repeated", "late",
+	"placed", "token", "no_route", "no_server", "not_loaded", "unknown_token", "server_gone", "wrong_service", "no_token", "no_room", "duplicate", "not_repeated", "late", "contested",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
--- a/core/steer/world_ends_test.go
+++ b/core/steer/world_ends_test.go
@@ -25,6 +25,7 @@
 	// Shares of the packets that are lost, and of those that are late.
 	worldTroublePercent          = 1
 	worldHandshakeTroublePercent = 5
+	worldMaxOpenPause            = 1500 * time.Millisecond // from the opening of a flow to its first request
 )
 
 // worldServer is one start of a backend server.
@@ -141,6 +142,7 @@
 		return
 	}
 	if !p.SYN {
+		w.countLateAnswer(f, p)
 		w.checkDelivery(n, f, s, p)
 	}
 	if s.entry.ID == id {
@@ -252,14 +254,7 @@
 	waitingFor uint32 // end of the data that has got no answer, 0 if there is none
 	waitsSince time.Duration
 
-	placements map[catalog.ServerID][]worldPlacement
-	elsewhere  []time.Duration // packets to other servers since the last one to the own server
-}
-
-// worldPlacement is a copy of the flow's SYN that was forwarded to a server.
-type worldPlacement struct {
-	instance *worldInstance
-	inTime   bool // before the caller sent the next copy
+	elsewhere []time.Duration // packets to other servers since the last one to the own server
 }
 
 // open lets a new caller open a flow.
@@ -267,7 +262,7 @@
 	caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), uint16(1024+len(w.flows)))
 	f := &worldFlow{
 		w: w, key: Key{caller, dest}, began: w.now, seq: w.random.Uint32(),
-		requests: 1 + w.random.IntN(15), placements: make(map[catalog.ServerID][]worldPlacement),
+		requests: 1 + w.random.IntN(15),
 	}
 	w.flows[f.key] = f
 	syn := f.seq
@@ -311,16 +306,6 @@
 	w.after(delay, func() { n.arrive(p) })
 }
 
-func (f *worldFlow) notePlacement(n *worldInstance, id catalog.ServerID, p *Packet) {
-	next := SYNPatience
-	if p.Retransmits+1 < len(synTimes) {
-		next = synTimes[p.Retransmits+1]
-	}
-	f.w.note("instance %d places flow %s, copy %d, at server %d", n.index, f.key.Caller, p.Retransmits, id)
-	inTime := f.w.now-f.began < next+worldSYNDelay
-	f.placements[id] = append(f.placements[id], worldPlacement{n, inTime})
-}
-
 // synAck takes the answer of a server to a SYN.
 func (f *worldFlow) synAck(s *worldServer, firstSeq uint32) {
 	if f.phase == worldDone {
@@ -329,12 +314,26 @@
 	if f.tokenOf != s {
 		f.w.note("flow %s gets an answer to its SYN from server %d", f.key.Caller, s.entry.ID)
 	}
+	if f.phase == worldOpen && f.w.keepsToken && s != f.server {
+		return
+	}
 	f.tokenOf = s
 	if f.phase == worldOpening {
 		f.phase, f.server, f.ack = worldOpen, s, firstSeq+1
 		f.w.stats.flows++
+		f.acknowledge()
+	}
+}
+
+// acknowledge ends the handshake, and sends the first request at once or later.
+func (f *worldFlow) acknowledge() {
+	w := f.w
+	if w.chance(50) {
 		f.request()
+		return
 	}
+	f.send(Packet{ACK: true, Seq: f.seq, Ack: f.ack})
+	w.after(w.between(0, worldMaxOpenPause), f.request)
 }
 
 // request sends the next request.
--- a/core/steer/world_fleet_test.go
+++ b/core/steer/world_fleet_test.go
@@ -47,7 +47,14 @@
 	updating   bool          // a read or pull is under way
 	notBefore  time.Duration // of the next read
 
-	held []worldHeld
+	held      []worldHeld
+	questions map[Key]*worldQuestion
+
+	contestsKnown bool
+
+	stopping  bool // as planned
+	startedAt time.Duration
+	stoppedAt time.Duration
 }
 
 type worldHeld struct {
@@ -59,23 +66,45 @@
 func (n *worldInstance) start() {
 	n.life++
 	n.running, n.inRotation, n.frozenAt, n.updating, n.notBefore = true, false, 0, false, 0
+	n.stopping, n.startedAt = false, n.w.now
 	n.inbox, n.answers, n.held = nil, nil, nil
-	n.troubleAt = n.w.now
 	n.catalog = catalog.New()
 	n.catalog.SetMaxStoreReadInterval(worldReadGap)
 	n.engine = New(Config{Domain: "a", Seed: n.w.random.Uint64()}, n.catalog)
 	n.engine.SetInstances(len(n.w.instances), true)
+	n.questions = make(map[Key]*worldQuestion)
 	n.w.note("instance %d starts", n.index)
 	n.tick()
+	n.fetchContests()
 }
 
 func (n *worldInstance) stop() {
 	n.w.note("instance %d stops", n.index)
 	n.life++
-	n.running, n.troubleAt = false, n.w.now
+	n.running, n.stoppedAt = false, n.w.now
 	n.w.after(worldMissedProbes, func() { n.inRotation = n.inRotation && n.running })
 }
 
+// hasPeerThatStays reports whether another instance has run for a while and is not about
+// to stop.
+func (n *worldInstance) hasPeerThatStays(ranFor time.Duration) bool {
+	return slices.ContainsFunc(n.w.instances, func(x *worldInstance) bool {
+		return x != n && x.running && !x.stopping && x.frozenAt == 0 && n.w.now-x.startedAt >= ranFor
+	})
+}
+
+// stopGracefully stops the instance as soon as an instance that stays knows the contested
+// flows, and starts it again.
+func (n *worldInstance) stopGracefully(latest, away time.Duration) {
+	if len(n.engine.contests) > 0 && !n.hasPeerThatStays(worldHandOver) && n.w.now < latest {
+		n.run(worldTick, func() { n.stopGracefully(latest, away) })
+		return
+	}
+	n.handOverContests()
+	n.stop()
+	n.w.after(away, n.start)
+}
+
 // freeze stops the instance for a while. What arrives meanwhile waits.
 func (n *worldInstance) freeze(d time.Duration) {
 	w := n.w
@@ -146,7 +175,7 @@
 	n.engine.Tick(now)
 	n.catalog.Expire(now)
 	n.expireHeld(now)
-	if n.catalog.Complete() {
+	if n.catalog.Complete() && n.contestsKnown && !n.stopping {
 		n.inRotation = true
 	}
 	n.readWhenDue(now)
@@ -346,16 +375,21 @@
 // receive decides on a packet that arrived after the given time.
 func (n *worldInstance) receive(p Packet, arrivedAfter time.Duration) {
 	p.Age = n.w.now - arrivedAfter
+	if q := n.questions[p.Key()]; q != nil && !p.SYN {
+		q.packets = append(q.packets, worldHeld{n.w.now, p})
+		return
+	}
 	n.execute(n.engine.Decide(n.w.now, &p), &p)
 }
 
 func (n *worldInstance) execute(v Verdict, p *Packet) {
 	w := n.w
 	f := w.flows[p.Key()]
+	n.tellContests()
 	switch v.Action {
 	case Forward:
 		if p.SYN {
-			f.notePlacement(n, v.Server.ID, p)
+			w.note("instance %d places flow %s, copy %d, at server %d", n.index, f.key.Caller, p.Retransmits, v.Server.ID)
 		}
 		packet, id, addr := *p, v.Server.ID, v.Server.Addr
 		w.after(w.between(time.Millisecond, 3*time.Millisecond), func() { w.deliver(n, id, addr, &packet) })
@@ -364,6 +398,8 @@
 		w.after(3*time.Millisecond, func() { f.reset() })
 	case Hold:
 		n.held = append(n.held, worldHeld{w.now, *p})
+	case Ask:
+		n.askContest(p)
 	case Queue:
 		w.fail("instance %d queues a flow, though the servers have room", n.index)
 	}
--- a/core/steer/world_test.go
+++ b/core/steer/world_test.go
@@ -31,7 +31,10 @@
 	flows     map[Key]*worldFlow
 	salt      uint64 // of the routers' hash
 	halfOpen  bool   // servers ignore packets of half-open flows that acknowledge another server
-	troubleAt time.Duration
+	// keepsToken: a caller whose flow is open takes no token from the answer of another
+	// server to its SYN.
+	keepsToken bool
+	troubleAt  time.Duration
 
 	stats worldStats
 	trace []string
@@ -40,17 +43,14 @@
 // worldStats counts what runs have seen.
 type worldStats struct {
 	runs, flows, resets int
-	// Packets of open flows that went elsewhere since their token is that of another
-	// server, which got a copy of the SYN in time, by way of another or the same instance.
-	lateElsewhere, lateHere int
+	lateTokens          int // packets of open flows with the token of another server
 }
 
 func (s *worldStats) add(x *worldStats) {
 	s.runs++
 	s.flows += x.flows
 	s.resets += x.resets
-	s.lateElsewhere += x.lateElsewhere
-	s.lateHere += x.lateHere
+	s.lateTokens += x.lateTokens
 }
 
 type worldEvent struct {
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -95,6 +95,7 @@
 	held             holdBuffer
 	waiting          *pacing.Waiting[steer.Key, heldPacket] // SYNs that wait for room at the servers
 	domain           domain
+	contests         contests
 	packetLogLimiter *logging.Limiter // limits the log lines about packets
 
 	state state
@@ -141,6 +142,7 @@
 		packetLogLimiter: logging.NewLimiter(packetLinesPerSecond),
 		waiting:          pacing.NewWaiting[steer.Key, heldPacket](),
 	}
+	i.contests = newContests(clk.now())
 	i.state.readWanted = make(chan struct{}, 1)
 	i.metrics = newMetrics(i, o.LogLinesDropped)
 	i.store = o.Store(StoreHooks{Call: i.metrics.countStoreCall, Size: progress.ReportSize, Data: progress.Report})
@@ -253,6 +255,9 @@
 	i.expireHeld(now)
 	i.placeWaiting(now)
 	i.refuseWaiting(now)
+	i.tellContests(now)
+	i.repeatContests(now)
+	i.requestContests(now)
 	if !i.state.stopping {
 		i.tickPeers(now)
 	}
--- a/node/edge/instance_test.go
+++ b/node/edge/instance_test.go
@@ -24,14 +24,17 @@
 	"egrettack.example/settings/edge"
 )
 
-// fakePackets is a text format of packets: "SYN" or the token in decimal, optionally
-// followed by a space and the ID of a request.
+// fakePackets is a text format of packets: "SYN", "SYN1" for its first copy, or the token in
+// decimal, optionally followed by a space and the ID of a request.
 type fakePackets struct{ dest netip.AddrPort }
 
 func (f fakePackets) Decode(b []byte, p *steer.Packet) error {
 	*p = steer.Packet{Caller: netip.MustParseAddrPort("127.0.0.1:9"), Dest: f.dest, ACK: true, Seq: 1, Ack: 1, Len: len(b)}
 	if bytes.HasPrefix(b, []byte("SYN")) {
-		p.SYN, p.ACK, p.Len = true, false, 0
+		p.SYN, p.ACK, p.Len, p.Seq = true, false, 0, 0
+		if bytes.HasPrefix(b, []byte("SYN1")) {
+			p.Retransmits = 1
+		}
 		return nil
 	}
 	_, err := fmt.Sscan(string(b), &p.Token)
--- a/node/edge/pages.go
+++ b/node/edge/pages.go
@@ -45,6 +45,8 @@
 		return "stopping"
 	case !i.catalog.Complete():
 		return "configuration or list of servers not loaded yet"
+	case !i.contests.contestsKnown(i.clock.now()):
+		return "contested flows not known yet"
 	}
 	return ""
 }
@@ -92,7 +94,8 @@
 }
 
 // drain reports the instance as not ready and forwards packets until no more
-// arrive and none wait, or the grace period is nearly over.
+// arrive, none wait and another instance knows the contested flows, or the grace period is
+// nearly over.
 func (i *Instance) drain(ctx context.Context) {
 	began := i.clock.now()
 	i.mu.Lock()
@@ -110,7 +113,8 @@
 		}
 		now := i.clock.now()
 		i.mu.Lock()
-		idle := now-i.state.lastPacket > drainIdle && i.waiting.Len() == 0 && len(i.held.packets) == 0
+		idle := now-i.state.lastPacket > drainIdle && i.waiting.Len() == 0 && len(i.held.packets) == 0 && len(i.contests.questions) == 0
+		idle = idle && i.handOverContests(now)
 		i.mu.Unlock()
 		if now-began > limit || now-began > minDrainTime && idle {
 			return
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -96,24 +96,30 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.adjustedTime()
-	if m.Kind == wire.Leave {
+	switch m.Kind {
+	case wire.ContestNews, wire.ContestQuestion, wire.ContestAnswer, wire.ContestsWanted, wire.ContestList:
+		i.handleContests(now, from, m)
+		return
+	case wire.Leave:
 		i.peers.fleet.Remove(from)
+		i.contests.leaving[from] = now
 		i.updateSource(now)
 		return
 	}
 	isNew := i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity})
 	// A member may have started again since others told of it, and know nobody.
-	if (isNew || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
+	if (isNew && m.Kind != wire.Join || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
+	delete(i.contests.leaving, from)
+	if i.contests.asked == 0 {
+		i.requestContests(now)
+	}
 	i.peers.fleet.SetStoreUnreachable(now, from, m.StoreUnreachable)
 	i.peers.fleet.SetStoreLost(from, m.StoreLost)
 	i.peers.fleet.SetDomainSize(from, int(m.DomainSize))
 	i.reportStoreLost(now)
-	for k, x := range m.Members {
-		id := fleet.Identity{Addr: netip.AddrFrom4(x.Addr), Domain: m.Domains[x.Domain], Capacity: m.CapacityOf(k)}
-		i.peers.fleet.RecordGossip(now, id, x.Age.Duration())
-	}
+	i.recordMembers(now, m)
 	if m.Revision > 0 {
 		i.peers.completePeerKnown = true
 	}
@@ -134,6 +140,14 @@
 	}
 }
 
+// recordMembers records the members that a message lists.
+func (i *Instance) recordMembers(now time.Duration, m *wire.Message) {
+	for k, x := range m.Members {
+		id := fleet.Identity{Addr: netip.AddrFrom4(x.Addr), Domain: m.Domains[x.Domain], Capacity: m.CapacityOf(k)}
+		i.peers.fleet.RecordGossip(now, id, x.Age.Duration())
+	}
+}
+
 // handleUpdate applies the update of a peer. A change that is too large for a
 // datagram, or follows one that was lost, is pulled.
 func (i *Instance) handleUpdate(ctx context.Context, now, received time.Duration, from netip.Addr, m *wire.Message) {
@@ -390,8 +404,13 @@
 
 // addMemberSample adds a sample of n members to a message.
 func (i *Instance) addMemberSample(now time.Duration, m *wire.Message, to netip.Addr, n int) {
+	addMembers(now, m, i.peers.fleet.Sample(i.peers.fleet.DomainOf(to), n))
+}
+
+// addMembers adds members to a message.
+func addMembers(now time.Duration, m *wire.Message, list []*fleet.Member) {
 	index := make(map[string]uint8)
-	for _, x := range i.peers.fleet.Sample(i.peers.fleet.DomainOf(to), n) {
+	for _, x := range list {
 		at, ok := index[x.Domain]
 		if !ok {
 			at = uint8(len(m.Domains))
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,11 +22,18 @@
 
 // The kinds of message.
 const (
-	Gossip        Kind = iota + 1 // lists members
-	Subscribe                     // requests changes and starts or renews a follower lease
-	Update                        // answers Subscribe, and carries later changes
-	Leave                         // announces the sender's stop
-	OutlierReport                 // lists backend servers that failed requests
+	Gossip          Kind = iota + 1 // lists members
+	Subscribe                       // requests changes and starts or renews a follower lease
+	Update                          // answers Subscribe, and carries later changes
+	Leave                           // announces the sender's stop
+	OutlierReport                   // lists backend servers that failed requests
+	ContestNews                     // tells of contested flows
+	ContestQuestion                 // asks what is known of the contested flows that it lists
+	ContestAnswer                   // answers ContestQuestion
+	ContestsWanted                  // asks for all contested flows, and for the members of the sender's domain
+	ContestList                     // answers ContestsWanted; a list with less than MaxContests ends it
+	Join                            // announces the sender's start
+	numKinds
 )
 
 // MaxDatagram is the maximum size of a datagram in bytes. It avoids
@@ -68,6 +76,8 @@
 	ToSource bool             `cbor:"20,keyasint,omitempty"`
 	// Epoch is the epoch of the store that Revision is of.
 	Epoch catalog.Epoch `cbor:"21,keyasint,omitempty"`
+	// Contests is what the sender knows of contested flows, at most MaxContests.
+	Contests []Contest `cbor:"22,keyasint,omitempty"`
 }
 
 // Position returns the state of the store up to which the sender is complete.
@@ -84,6 +94,19 @@
 	FailuresTenths uint16 // number of these that failed, in tenths
 }
 
+// MaxContests is the number of contests in one message. They take up to 34 bytes each.
+const MaxContests = 32
+
+// Contest is a flow to whose SYN several backend servers may answer.
+type Contest struct {
+	_            struct{} `cbor:",toarray"`
+	Caller, Dest netip.AddrPort
+	SYNSeq       uint32
+	Server       token.Token // of the server where the flow opened, 0 if the sender does not know it
+	Age          Millis      // since the sender, or another instance, has seen it open there
+	Confirmed    bool        // see steer.Contest
+}
+
 // Millis is a duration in milliseconds.
 type Millis uint32
 
@@ -137,7 +160,7 @@
 	if err := decMode.Unmarshal(b, &m); err != nil {
 		return nil, fmt.Errorf("decode fleet message: %w", err)
 	}
-	if m.Kind < Gossip || m.Kind > OutlierReport {
+	if m.Kind < Gossip || m.Kind >= numKinds {
 		return nil, fmt.Errorf("decode fleet message: unknown kind %d", m.Kind)
 	}
 	for i, x := range m.Members {
@@ -148,6 +171,9 @@
 	if len(m.Capacities) > 0 && len(m.Capacities) != len(m.Members) {
 		return nil, fmt.Errorf("decode fleet message: %d capacities of %d members", len(m.Capacities), len(m.Members))
 	}
+	if len(m.Contests) > MaxContests {
+		return nil, fmt.Errorf("decode fleet message: %d contested flows, more than %d", len(m.Contests), MaxContests)
+	}
 	return &m, nil
 }
 
--- a/wire/fleet/message_test.go
+++ b/wire/fleet/message_test.go
@@ -23,6 +23,10 @@
 		}}}},
 		SentAt: 1234567, SubscribeAge: 20, StoreUnreachable: true,
 		Evidence: []ServerEvidence{{Token: 78, RequestsTenths: 125, FailuresTenths: 15}}, ToSource: true,
+		Contests: []Contest{{
+			Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Dest: netip.MustParseAddrPort("198.18.0.1:443"),
+			SYNSeq: 1 << 31, Server: 1 << 31, Age: 30_000, Confirmed: true,
+		}},
 	}
 }
 
@@ -137,6 +141,28 @@
 	}
 }
 
+// Guards against contested flows that are not told because their message is too large.
+func TestContestsFitADatagram(t *testing.T) {
+	m := &Message{Kind: ContestNews, Domain: "a-domain-with-a-long-name", DomainSize: 100, Capacity: 15, StoreLost: true}
+	for range MaxContests {
+		m.Contests = append(m.Contests, sampleMessage().Contests...)
+	}
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > MaxDatagram {
+		t.Errorf("%d contested flows take %d bytes, more than %d", MaxContests, len(b), MaxDatagram)
+	}
+	m.Contests = append(m.Contests, m.Contests[0])
+	if b, err = Encode(m); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(b); err == nil {
+		t.Errorf("a message with %d contested flows was accepted", len(m.Contests))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	b, err := Encode(sampleMessage())
 	if err != nil {
