Play late SYN+ACKs in the stand-in of the users' platform

A share of the SYN+ACKs leaves 230 to 530 ms late, so that a copy of the SYN is answered by another server first. Callers take the echo of the late answer or keep that of their server (question 7 in docs/platform.md), and may pause between the opening of a flow and its first request. All are settings of the Config, off by default.

Two scripts restart instances beside it, one for each reading. Planned work fails no request, so both have a bound of 0. A SYN+ACK that is late still opens the flow, so no request is excused for it. A run in which no open flow gets an answer of a further server fails.

The checks had no excuse for late answers; they stay as they are. The logs of failed scripts are kept in SOAK_DIR like those of the soak, and the counts say how requests failed.

--- a/testkit/edge/caller.go
+++ b/testkit/edge/caller.go
@@ -78,6 +78,7 @@
 	key    flowKey
 	in     chan packet
 	echo   uint32
+	isn    uint32 // of the server
 	opened time.Time
 	closed bool // by the server
 }
@@ -110,7 +111,7 @@
 				if p.has(syn) && p.has(ack) && p.ack == isn+1 {
 					t.Stop()
 					f.stream = newStream(isn+1, p.seq+1)
-					f.echo, f.opened = p.echo, time.Now()
+					f.echo, f.isn, f.opened = p.echo, p.seq, time.Now()
 					f.send(packet{flags: ack, seq: f.next, ack: f.want})
 					return f, nil
 				}
@@ -142,6 +143,26 @@
 	return errRefused
 }
 
+// rest pauses before the first request of the flow, and returns for how long.
+func (f *flow) rest() (time.Duration, error) {
+	most := f.caller.city.cfg.FirstPause
+	if most == 0 {
+		return 0, nil
+	}
+	over := time.After(rand.N(most))
+	for {
+		select {
+		case p := <-f.in:
+			if p.has(rst) {
+				return time.Since(f.opened), f.resetError(&p)
+			}
+			f.take(&p)
+		case <-over:
+			return time.Since(f.opened), nil
+		}
+	}
+}
+
 // do sends a request on the open flow and waits for its answer.
 func (f *flow) do(id uint64, size int, deadline time.Time) error {
 	f.write(message(id, size))
@@ -191,7 +212,13 @@
 }
 
 func (f *flow) take(p *packet) {
-	f.echo = p.echo
+	further := p.has(syn) && p.seq != f.isn
+	if further {
+		f.caller.city.noteFurtherAnswer()
+	}
+	if !further || !f.caller.city.cfg.KeepsEcho {
+		f.echo = p.echo
+	}
 	f.closed = f.closed || p.has(fin) || p.has(rst)
 	if p.has(syn) {
 		return
--- a/testkit/edge/check.go
+++ b/testkit/edge/check.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// noteFurtherAnswer counts a SYN+ACK of a further server on an open flow.
+func (c *City) noteFurtherAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.furtherAnswers++
+}
+
+// further returns the number of SYN+ACKs of further servers on open flows so far.
+func (c *City) further() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.furtherAnswers
+}
+
 // holder returns the living server that had the flow open at a time and still has, nil
 // if there is none.
 func (c *City) holder(k flowKey, at time.Time) *Server {
--- a/testkit/edge/check_test.go
+++ b/testkit/edge/check_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"strings"
@@ -21,7 +22,19 @@
 // newAstrayCity returns a city in which a flow has been opened at one server after another
 // one has answered its SYN. The latter is one that resets such flows, or one that is silent.
 func newAstrayCity(t *testing.T, resets bool) *astrayCity {
-	c := &astrayCity{City: uncheckedCity(t), t: t, answers: make(chan packet, 8)}
+	c := newSilentCity(t, resets)
+	c.bring(c.other, packet{flags: syn, seq: 99})
+	c.answer()
+	c.bring(c.own, packet{flags: syn, seq: 99})
+	p := c.answer()
+	c.bring(c.own, packet{flags: ack, seq: 100, ack: p.seq + 1})
+	c.eventually("the flow is open", func() bool { return c.own.holds(c.key) })
+	return c
+}
+
+// newSilentCity returns the city of newAstrayCity before the first packet.
+func newSilentCity(t *testing.T, resets bool, shapes ...func(*Config)) *astrayCity {
+	c := &astrayCity{City: uncheckedCity(t, shapes...), t: t, answers: make(chan packet, 8)}
 	k, err := c.newCaller(c.ip(10, 1), "a")
 	if err != nil {
 		t.Fatal(err)
@@ -44,12 +57,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.from.Close() })
-	c.bring(c.other, packet{flags: syn, seq: 99})
-	c.answer()
-	c.bring(c.own, packet{flags: syn, seq: 99})
-	p := c.answer()
-	c.bring(c.own, packet{flags: ack, seq: 100, ack: p.seq + 1})
-	c.eventually("the flow is open", func() bool { return c.own.holds(c.key) })
 	return c
 }
 
@@ -176,3 +183,65 @@
 	expect(t, "acknowledged", c.answer().ack, 100)
 	expect(t, "held", c.own.holds(c.key), true)
 }
+
+// Guards against SYN+ACKs that leave at once where they should be late, or after the end of
+// their server.
+func TestLateAnswers(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ends=%t", ends), func(t *testing.T) {
+			t.Parallel()
+			c := newSilentCity(t, false, func(cfg *Config) { cfg.LateAnswers = 1 })
+			sent := time.Now()
+			c.bring(c.other, packet{flags: syn, seq: 99})
+			if ends {
+				time.Sleep(lateLeast / 2)
+				c.other.Leave()
+			}
+			select {
+			case p := <-c.answers:
+				late := time.Since(sent)
+				expect(t, "answered after the end", ends, false)
+				expect(t, "flags", p.flags, syn|ack)
+				expect(t, "left late", late >= lateLeast, true)
+			case <-time.After(lateMost + 200*time.Millisecond):
+				expect(t, "answered", false, !ends)
+			}
+		})
+	}
+}
+
+// Guards against callers whose echo after the answer of a further server is of the other reading.
+func TestEchoOfAFurtherAnswer(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keeps=%t", keeps), func(t *testing.T) {
+			t.Parallel()
+			k := &Caller{city: &City{cfg: Config{KeepsEcho: keeps}}}
+			f := &flow{stream: newStream(100, 8), caller: k, isn: 7, echo: 1}
+			f.take(&packet{flags: syn | ack, seq: 20, ack: 100, echo: 2})
+			expect(t, "echo after a further answer", f.echo, map[bool]uint32{false: 2, true: 1}[keeps])
+			expect(t, "further answers", k.city.further(), 1)
+			f.take(&packet{flags: syn | ack, seq: 7, ack: 100, echo: 3})
+			expect(t, "echo after a repeated answer", f.echo, 3)
+			f.take(&packet{flags: ack, seq: 8, ack: 100, echo: 4})
+			expect(t, "echo after a packet of its server", f.echo, 4)
+			expect(t, "further answers", k.city.further(), 1)
+		})
+	}
+}
+
+// Guards against resets that pass unseen in the pause before the first request, and against
+// answers that are taken only after it.
+func TestPauseBeforeTheFirstRequest(t *testing.T) {
+	t.Parallel()
+	const most = 100 * time.Millisecond
+	k := &Caller{city: &City{cfg: Config{FirstPause: most}}}
+	f := &flow{stream: newStream(100, 8), caller: k, isn: 7, echo: 1, in: make(chan packet, 2), opened: time.Now()}
+	f.in <- packet{flags: syn | ack, seq: 20, ack: 100, echo: 2}
+	rested, err := f.rest()
+	expect(t, "error", err, nil)
+	expect(t, "within the pause", rested < 2*most, true)
+	expect(t, "echo", f.echo, 2)
+	f.in <- packet{flags: rst, sum: 1}
+	_, err = f.rest()
+	expect(t, "error", err, errServer)
+}
--- a/testkit/edge/city.go
+++ b/testkit/edge/city.go
@@ -30,6 +30,10 @@
 	Settle     time.Duration // after trouble, until an instance counts as in touch
 	PacketPort uint16
 	Net        byte // second byte of all addresses, so that cities can run side by side
+
+	LateAnswers int           // one of so many SYN+ACKs leaves late, 0 for none
+	KeepsEcho   bool          // callers ignore the echo of a SYN+ACK of another server than the flow's
+	FirstPause  time.Duration // the longest pause of a caller before the first request of a flow
 }
 
 // DefaultConfig is a city of two domains that runs on a laptop.
@@ -71,8 +75,9 @@
 	impaired   time.Time // end of the last unplanned trouble
 	astray     map[flowKey]*astray
 
-	wrongResets map[flowKey]string // of open flows, by servers that do not hold them
-	served      []sample
+	wrongResets    map[flowKey]string // of open flows, by servers that do not hold them
+	furtherAnswers int                // SYN+ACKs on open flows, by servers that do not hold them
+	served         []sample
 }
 
 // routeHistory is what configurations said of an address.
--- a/testkit/edge/load.go
+++ b/testkit/edge/load.go
@@ -26,8 +26,8 @@
 
 // sample is the outcome of one request.
 type sample struct {
-	at time.Duration // since the start of the city, when it was sent
-	ok bool
+	at  time.Duration // since the start of the city, when it was sent
+	err error         // nil if it was served
 }
 
 // Counts are the requests of a run.
@@ -35,6 +35,8 @@
 	Asked  int `json:"asked"`
 	Served int `json:"served"`
 	Failed int `json:"failed"`
+
+	Reasons map[string]int `json:"reasons,omitempty"` // of those that failed, by the error
 }
 
 var lastID atomic.Uint64
@@ -56,11 +58,15 @@
 	var n Counts
 	for _, s := range c.served {
 		n.Asked++
-		if s.ok {
+		if s.err == nil {
 			n.Served++
-		} else {
-			n.Failed++
+			continue
+		}
+		n.Failed++
+		if n.Reasons == nil {
+			n.Reasons = make(map[string]int)
 		}
+		n.Reasons[s.err.Error()]++
 	}
 	return n
 }
@@ -68,7 +74,7 @@
 func (c *City) note(began time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.served = append(c.served, sample{began.Sub(c.started), err == nil})
+	c.served = append(c.served, sample{began.Sub(c.started), err})
 }
 
 func pause(mean time.Duration) { time.Sleep(mean/2 + rand.N(mean+1)) }
@@ -92,9 +98,15 @@
 					continue
 				}
 				left = requests
+				var rested time.Duration
+				rested, err = f.rest()
+				deadline = deadline.Add(rested)
 			}
 			left--
-			if err = f.do(lastID.Add(1), requestSize, deadline); err == nil {
+			if err == nil {
+				err = f.do(lastID.Add(1), requestSize, deadline)
+			}
+			if err == nil {
 				break
 			}
 			f.finish(err)
@@ -129,7 +141,10 @@
 			if f, err = k.open(k.city.Dest(service)); err != nil {
 				continue
 			}
-			err = f.do(lastID.Add(1), size, began.Add(budget))
+			var rested time.Duration
+			if rested, err = f.rest(); err == nil {
+				err = f.do(lastID.Add(1), size, began.Add(budget+rested))
+			}
 			f.finish(err)
 			break
 		}
@@ -154,7 +169,10 @@
 	began := time.Now()
 	f, err := k.open(k.city.Dest(Feed))
 	if err == nil {
-		err = f.do(lastID.Add(1), requestSize, began.Add(flowBound))
+		var rested time.Duration
+		if rested, err = f.rest(); err == nil {
+			err = f.do(lastID.Add(1), requestSize, began.Add(flowBound+rested))
+		}
 		if err == nil {
 			time.Sleep(time.Until(later))
 			if !f.ended() {
--- a/testkit/edge/script.go
+++ b/testkit/edge/script.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -42,6 +43,8 @@
 		{"restored-store-drain", "mod", 16 * time.Second, 0, func(c *City) error { return c.restoreOlderCopy(2) }, nil},
 		{"restart-drained-servers", "mod", 20 * time.Second, 0, (*City).restartDrainedServers, oneDomain},
 		{"frozen-instance", "steady", 16 * time.Second, 0.15, (*City).freezeInstance, nil},
+		{"late-answers-taken", "mod", 16 * time.Second, 0, (*City).restartBesideLateAnswers, lateAnswers(false)},
+		{"late-answers-ignored", "mod", 16 * time.Second, 0, (*City).restartBesideLateAnswers, lateAnswers(true)},
 	}
 }
 
@@ -409,6 +412,61 @@
 	return errors.Join(errs.list...)
 }
 
+// Late answers of a run.
+const (
+	lateAnswersOf  = 20 // SYN+ACKs of which one leaves late
+	mostFirstPause = 1500 * time.Millisecond
+)
+
+// lateAnswers shapes a city in which two servers may answer a SYN, and callers may ignore
+// the echo of the second one.
+func lateAnswers(keepsEcho bool) func(*Config) {
+	return func(cfg *Config) {
+		cfg.Domains, cfg.Instances, cfg.Servers = cfg.Domains[:1], 5, 32
+		cfg.LateAnswers, cfg.KeepsEcho, cfg.FirstPause = lateAnswersOf, keepsEcho, mostFirstPause
+	}
+}
+
+// restartBesideLateAnswers stops and starts two instances in turn, so that flows move
+// between the opening and the first request.
+func (c *City) restartBesideLateAnswers() error {
+	const (
+		length    = 13 * time.Second
+		flows     = 30                      // of each caller at a time, for one request
+		longer    = 10                      // of each caller at a time, for more
+		restarted = 2                       // instances
+		gapLeast  = 1300 * time.Millisecond // between two restarts
+		gapMost   = 1700 * time.Millisecond
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	var wg sync.WaitGroup
+	var errs errorList
+	for _, k := range c.callers {
+		for range flows {
+			wg.Go(func() { k.fresh(ctx, Feed, requestSize, lookupBudget) })
+		}
+		for range longer {
+			wg.Go(func() { k.lookups(ctx, fewRequests, lookupPause) })
+		}
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		i := c.Instances[n%restarted]
+		wg.Go(func() {
+			i.busy.Lock()
+			defer i.busy.Unlock()
+			errs.add(i.restart())
+		})
+		time.Sleep(gapLeast + rand.N(gapMost-gapLeast))
+	}
+	wg.Wait()
+	time.Sleep(flowBound) // the last packets are judged
+	if c.further() == 0 {
+		errs.add(errors.New("no open flow got a SYN+ACK of a further server"))
+	}
+	return errors.Join(errs.list...)
+}
+
 // freezeInstance freezes an instance while callers of its domain open flows, some of whose
 // SYNs wait in its socket. Each flow has a request at once, and one when the instance
 // has been in touch again for a while.
@@ -470,6 +528,6 @@
 	err = <-played
 	return &Report{
 		Seconds: time.Since(c.started).Seconds(), Counts: counts, Calls: c.Store.Calls(),
-		Violations: c.Violations(), Share: c.shares(),
+		Violations: c.Violations(), Share: c.shares(), Further: c.further(),
 	}, err
 }
--- a/testkit/edge/script_test.go
+++ b/testkit/edge/script_test.go
@@ -11,11 +11,12 @@
 			t.Parallel()
 			cfg := DefaultConfig()
 			cfg.Program, cfg.Dir, cfg.Net = bin, t.TempDir(), byte(80+n)
+			defer keepLogs(t, cfg.Dir, s.Name)
 			r, err := Run(cfg, s)
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%+v, %d calls to the store", r.Counts, r.Calls)
+			t.Logf("%+v, %d calls to the store, %d SYN+ACKs of further servers on open flows", r.Counts, r.Calls, r.Further)
 			for _, v := range r.Violations {
 				t.Error(v)
 			}
--- a/testkit/edge/server.go
+++ b/testkit/edge/server.go
@@ -19,6 +19,9 @@
 	lapseAfter   = 3 * checkIn
 	tickInterval = 20 * time.Millisecond
 	prefixLen    = 8 // the number of the intended server before each packet
+
+	lateLeast = 230 * time.Millisecond // for a SYN+ACK that leaves late
+	lateMost  = 530 * time.Millisecond
 )
 
 // flowKey identifies a flow at a server or caller.
@@ -348,7 +351,7 @@
 			s.flows[k] = f
 		}
 		f.echo = p.echo
-		s.send(k, f, packet{flags: syn | ack, seq: f.isn, ack: f.first})
+		s.answer(k, f)
 	case p.has(rst):
 		delete(s.flows, k)
 	case f == nil:
@@ -365,6 +368,22 @@
 	return opening
 }
 
+// answer sends a SYN+ACK, at times late.
+func (s *Server) answer(k flowKey, f *serverFlow) {
+	p := packet{flags: syn | ack, seq: f.isn, ack: f.first}
+	if n := s.city.cfg.LateAnswers; n == 0 || rand.IntN(n) > 0 {
+		s.send(k, f, p)
+		return
+	}
+	time.AfterFunc(lateLeast+rand.N(lateMost-lateLeast), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.dead {
+			s.send(k, f, p)
+		}
+	})
+}
+
 // resetsHalfOpen reports how the server treats a packet of a flow whose handshake it
 // began and another server ended: the pages allow a reset and silence.
 func (s *Server) resetsHalfOpen() bool { return s.ID>>21%2 == 0 }
--- a/testkit/edge/server_test.go
+++ b/testkit/edge/server_test.go
@@ -34,10 +34,13 @@
 }
 
 // uncheckedCity is an emptyCity that may have violations.
-func uncheckedCity(t *testing.T) *City {
+func uncheckedCity(t *testing.T, shapes ...func(*Config)) *City {
 	t.Helper()
 	cfg := DefaultConfig()
 	cfg.Instances, cfg.Callers = 0, 0
+	for _, shape := range shapes {
+		shape(&cfg)
+	}
 	var err error
 	for cfg.Net = firstNet; cfg.Net <= lastNet; cfg.Net++ {
 		var c *City
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -23,6 +24,7 @@
 	Seconds    float64  `json:"seconds"`
 	Counts     Counts   `json:"counts"`
 	Calls      int      `json:"store_calls"`
+	Further    int      `json:"further_syn_acks"` // of other servers, on open flows
 	Violations []string `json:"violations"`
 	Faults     []Event  `json:"faults"`
 	Share      []Share  `json:"share"` // over time
@@ -67,6 +69,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	cfg.Hash = []string{"steady", "mod"}[rnd.IntN(2)]
 	more := drawSeries(rand.New(rand.NewPCG(seed, 0)), &cfg)
+	drawAnswers(rand.New(rand.NewPCG(seed, math.MaxUint64)), &cfg)
 	c, err := New(cfg)
 	if err != nil {
 		return nil, err
@@ -101,7 +104,7 @@
 	<-loaded
 	r := &Report{
 		Seed: seed, Seconds: time.Since(c.started).Seconds(), Counts: counts, Calls: c.Store.Calls(),
-		Violations: c.Violations(), Faults: rec.events, Share: c.shares(),
+		Violations: c.Violations(), Faults: rec.events, Share: c.shares(), Further: c.further(),
 	}
 	return r, errors.Join(errs...)
 }
@@ -137,6 +140,15 @@
 	return nil
 }
 
+// drawAnswers lets servers answer late in half of the runs, and draws what callers make of
+// it. It is drawn apart like the series.
+func drawAnswers(rnd *rand.Rand, cfg *Config) {
+	cfg.KeepsEcho = rnd.IntN(2) == 0
+	if rnd.IntN(2) == 0 {
+		cfg.LateAnswers, cfg.FirstPause = lateAnswersOf, mostFirstPause
+	}
+}
+
 // disturb makes faults one after the other, which overlap, until ctx is done.
 func (s *soak) disturb(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -518,7 +530,7 @@
 			list = append(list, Share{At: (time.Duration(len(list)) * shareStep).Seconds()})
 		}
 		list[at].Asked++
-		if x.ok {
+		if x.err == nil {
 			list[at].Served++
 		}
 	}
--- a/testkit/edge/soak_test.go
+++ b/testkit/edge/soak_test.go
@@ -54,12 +54,13 @@
 func soakOnce(t *testing.T, bin string, seed uint64, net byte) {
 	cfg := DefaultConfig()
 	cfg.Program, cfg.Dir, cfg.Net = bin, t.TempDir(), net
-	defer keepLogs(t, cfg.Dir, seed)
+	defer keepLogs(t, cfg.Dir, strconv.FormatUint(seed, 10))
 	r, err := Soak(cfg, seed, soakLength)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: %+v, %d calls to the store, %d faults", seed, r.Counts, r.Calls, len(r.Faults))
+	t.Logf("seed %d: %+v, %d calls to the store, %d faults, %d SYN+ACKs of further servers on open flows",
+		seed, r.Counts, r.Calls, len(r.Faults), r.Further)
 	for _, v := range r.Violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
@@ -79,12 +80,12 @@
 }
 
 // keepLogs copies the logs of a run that failed to SOAK_DIR.
-func keepLogs(t *testing.T, dir string, seed uint64) {
+func keepLogs(t *testing.T, dir, run string) {
 	keep := os.Getenv("SOAK_DIR")
 	if keep == "" || !t.Failed() {
 		return
 	}
-	if err := os.CopyFS(filepath.Join(keep, strconv.FormatUint(seed, 10)), os.DirFS(dir)); err != nil {
+	if err := os.CopyFS(filepath.Join(keep, run), os.DirFS(dir)); err != nil {
 		t.Logf("logs not kept: %v", err)
 	}
 }
