Drop what waits for peers over a pause of the process

An instance that was paused while it asked its peers about a contested flow decided when it woke, before it read their answers. What has waited for longer than 250 ms is dropped now; callers have sent it again.

TestQuestionOfAPausedInstanceIsNotDecidedOn: the flow's server is set without the change.

--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -15,6 +15,9 @@
 	// contestReplyTime is how long the first packet of a contested flow waits for the
 	// answers of peers. They take a few milliseconds, between domains included.
 	contestReplyTime = 30 * time.Millisecond
+	// maxQuestionTime is the time after which waiting packets are dropped instead: callers
+	// have sent them again.
+	maxQuestionTime = 250 * time.Millisecond
 	// maxQuestions and maxQuestionPackets limit the contested flows that are asked about
 	// at the same time, and the packets of each that wait.
 	maxQuestions       = 256
@@ -204,8 +207,14 @@
 			_ = i.sleep(context.Background(), contestReplyTime)
 			i.mu.Lock()
 			defer i.mu.Unlock()
-			if i.contests.questions[key] == q {
-				i.endQuestion(i.clock.now(), key)
+			now := i.adjustedTime()
+			switch {
+			case i.contests.questions[key] != q:
+			case now-q.askedAt > maxQuestionTime:
+				// The process was paused, and the answers are still to be read.
+				delete(i.contests.questions, key)
+			default:
+				i.endQuestion(now, key)
 			}
 		})
 	})
--- a/node/edge/contests_test.go
+++ b/node/edge/contests_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -176,3 +177,26 @@
 		t.Errorf("members know up to %d contested flows, want those of their domain, about %d", known, contested/7)
 	}
 }
+
+// Guards against an instance that wakes after a pause and decides on a contested flow before it reads what its peers answered meanwhile.
+func TestQuestionOfAPausedInstanceIsNotDecidedOn(t *testing.T) {
+	g := NewWithT(t)
+	clk := &manualClock{time: time.Second}
+	i := newIdleInstance(clk, &partStore{})
+	i.packets = fakePackets{}
+	i.peers.send = func([]byte, netip.AddrPort) error { return nil }
+	i.peers.background = func(f func()) { f() }
+	i.sleep = func(context.Context, time.Duration) error {
+		i.mu.Unlock() // as when f runs concurrently
+		clk.time += 3 * time.Second
+		return nil
+	}
+	i.peers.fleet.RecordMessage(clk.time, fleet.Identity{Addr: netip.MustParseAddr("10.0.0.2"), Domain: "a"})
+	p := &steer.Packet{Caller: netip.MustParseAddrPort("100.64.0.1:1024"), Dest: netip.MustParseAddrPort("198.18.0.1:443"), ACK: true, Seq: 1, Token: 5}
+	i.engine.LearnContest(clk.time, steer.Contest{Key: p.Key()})
+	i.mu.Lock()
+	i.askPeers(clk.time, nil, p)
+	x, _ := i.engine.Contest(clk.time, p.Key())
+	g.Expect(x.Server).To(BeZero())
+	g.Expect(i.contests.questions).To(BeEmpty())
+}
