Let instances agree on contested flows whatever was lost between them

- Two instances that asked each other at the same time each took the server of their own packet.
The packet that waits is part of question and answer now, and the best sighting counts: the end of the handshake, then the first data, then others (TestCrossingQuestionsAgreeOnTheHandshake).
- A record stayed at the server of a packet that had overtaken the end of the handshake (TestOvertakenEndOfTheHandshakeGoesToItsServer), and one made by a changed token had a wrong SYN number.
- Peers that were cut off or lost the news never heard of them.
Those that have not answered are asked again each second (TestPeerThatWasCutOffIsToldOfContestedFlows).
- Stops that overlapped left the flows to each other, or to a dead member.
A peer that goes on has to acknowledge them (TestStoppingInstanceLeavesContestedFlowsToOneThatStays waits for that now; it did not test the wait).
Members that leave stay so until they say that they have started.
- An instance of a domain of one in a larger fleet told nobody (read): small domains tell others as well.

The model lets servers send unacknowledged answers again, repeats news as node/edge does and asks again.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -22,23 +22,31 @@
 // flow is open. Therefore the instances of a domain tell each other of such flows, and
 // deliver them by what was seen first: the token of the first packet after the handshake.
 type Contest struct {
-	Key    Key
-	SYNSeq uint32
-	Server token.Token   // of the server where the flow opened, 0 while that is not known
-	Age    time.Duration // since a packet of the open flow was seen with that token
-	// Confirmed means that this was one of the first packets after the handshake, or that the
-	// caller has acknowledged data with that token. That of another packet may be from a
-	// late answer.
-	Confirmed bool
+	Key      Key
+	SYNSeq   uint32
+	Server   token.Token   // of the server where the flow opened, 0 while that is not known
+	Age      time.Duration // since a packet of the open flow was seen with that token
+	Sighting Sighting      // what shows that the flow is open there
 }
 
+// Sighting is what shows that a contested flow is open at a server, the best last.
+type Sighting uint8
+
+// Sightings of the server of a flow, by the packet that had its token.
+const (
+	LaterPacket     Sighting = iota // any; the token may be that of a late answer
+	FirstData                       // with the first data, or with an acknowledgement of data
+	HandshakePacket                 // without data, at the end of the handshake
+)
+
 // contest is what is known of a contested flow.
 type contest struct {
-	synSeq    uint32
-	server    token.Token   // see Contest
-	seenAt    time.Duration // when a packet of the open flow was seen with that token
-	confirmed bool          // see Contest
-	until     time.Duration // when it is forgotten
+	synSeq   uint32
+	server   token.Token   // see Contest
+	seenAt   time.Duration // when a packet of the open flow was seen with that token
+	sighting Sighting      // see Contest
+	asking   bool          // the peers are being asked
+	until    time.Duration // when it is forgotten
 }
 
 // covers reports whether a sequence number is likely to belong to the flow. Later on the
@@ -134,7 +142,7 @@
 }
 
 func (c *contest) report(now time.Duration, key Key) Contest {
-	x := Contest{Key: key, SYNSeq: c.synSeq, Server: c.server, Confirmed: c.confirmed}
+	x := Contest{Key: key, SYNSeq: c.synSeq, Server: c.server, Sighting: c.sighting}
 	if c.server != 0 {
 		x.Age = now - c.seenAt
 	}
@@ -142,24 +150,28 @@
 }
 
 // LearnContest notes a contested flow that a peer told of, and returns what is known of it
-// now. Of two servers a confirmed one counts, then the one that was seen first.
+// now. Of two servers the one with the better sighting counts, then the one that was seen
+// first.
 func (e *Engine) LearnContest(now time.Duration, x Contest) Contest {
 	known := e.contests[x.Key]
 	c := e.noteContest(now, x.Key, x.SYNSeq)
+	if int32(x.SYNSeq-c.synSeq) < 0 { // sequence numbers wrap around
+		c.synSeq, known = x.SYNSeq, nil // it was not that of the SYN
+	}
 	if c != known {
 		e.recallServer(now, x.Key, c)
 	}
-	if at := now - x.Age; x.Server != 0 && c.precededBy(at, x.Confirmed) {
-		c.server, c.seenAt, c.confirmed = x.Server, at, x.Confirmed
+	if at := now - x.Age; x.Server != 0 && c.precededBy(at, x.Sighting) {
+		c.server, c.seenAt, c.sighting = x.Server, at, x.Sighting
 	}
 	return c.report(now, x.Key)
 }
 
 // precededBy reports whether the server of a packet that was seen at a time counts rather
 // than the one that is known.
-func (c *contest) precededBy(at time.Duration, confirmed bool) bool {
-	if c.server == 0 || c.confirmed != confirmed {
-		return c.server == 0 || confirmed
+func (c *contest) precededBy(at time.Duration, sighting Sighting) bool {
+	if c.server == 0 || c.sighting != sighting {
+		return c.server == 0 || sighting > c.sighting
 	}
 	return at < c.seenAt
 }
@@ -179,7 +191,15 @@
 // shows that several servers have answered the SYN.
 func (e *Engine) reviewContest(now time.Duration, key Key, f *flowEntry, s *catalog.Server, p *Packet) *contest {
 	c := e.contestOf(key, p.Seq)
-	if f == nil || p.RST || p.Token == 0 {
+	if p.RST || p.Token == 0 {
+		return c
+	}
+	if c != nil && c.server != 0 && c.server != p.Token && c.sightingIn(p.Seq, p.Len) > c.sighting {
+		// The packet was overtaken by a later one.
+		c.server, c.seenAt, c.sighting = p.Token, now, c.sightingIn(p.Seq, p.Len)
+		e.tellContest(key)
+	}
+	if f == nil {
 		return c
 	}
 	if s != nil && (s == f.server || s == e.catalog.Latest(f.server)) {
@@ -192,7 +212,7 @@
 			c.recall(f)
 		}
 		e.tellContest(key)
-	} else if c.server != 0 && c.server != p.Token && !c.confirmed && f.acknowledges(p) {
+	} else if c.server != 0 && c.server != p.Token && c.sighting == LaterPacket && f.acknowledges(p) {
 		// The caller has got data since the token that is known.
 		c.server, c.seenAt = p.Token, now
 		e.tellContest(key)
@@ -200,6 +220,17 @@
 	return c
 }
 
+// sightingIn returns what a packet shows of the server that its token identifies.
+func (c *contest) sightingIn(seq uint32, length int) Sighting {
+	switch {
+	case seq != c.synSeq+1:
+		return LaterPacket
+	case length > 0:
+		return FirstData
+	}
+	return HandshakePacket
+}
+
 // acknowledges reports whether a packet of an open flow acknowledges more data than those
 // before it.
 func (f *flowEntry) acknowledges(p *Packet) bool {
@@ -208,27 +239,33 @@
 
 // recall notes where the flow was seen open.
 func (c *contest) recall(f *flowEntry) {
-	c.server, c.seenAt, c.confirmed = f.server.Token, f.lastPacket, f.confirmed || f.firstSeq == c.synSeq+1
+	c.server, c.seenAt = f.server.Token, f.lastPacket
+	if c.sighting = c.sightingIn(f.firstSeq, f.firstLen); f.confirmed {
+		c.sighting = max(c.sighting, FirstData)
+	}
 }
 
 // DecideContested decides on a packet after the peers have been asked about its flow. If
 // none of them has seen the flow open, what was seen here tells its server.
 func (e *Engine) DecideContested(now time.Duration, p *Packet) Verdict {
-	if c := e.contestOf(p.Key(), p.Seq); c != nil && c.server == 0 && p.Token != 0 {
-		e.settleContest(now, c, p)
+	if c := e.contestOf(p.Key(), p.Seq); c != nil {
+		if c.server == 0 && p.Token != 0 {
+			e.suggestServer(now, c, p)
+		}
+		c.asking = false
+		e.tellContest(p.Key())
 	}
 	return e.Decide(now, p)
 }
 
-// settleContest takes the token of a packet for that of the flow's server, unless the flow
-// was seen here before, with another token, and the caller has got no data since.
-func (e *Engine) settleContest(now time.Duration, c *contest, p *Packet) {
-	key := p.Key()
-	c.server, c.seenAt, c.confirmed = p.Token, now, p.Seq == c.synSeq+1
-	if f := e.flows[key]; f != nil && f.established && !f.acknowledges(p) {
+// suggestServer takes the token of a packet for that of the flow's server, unless the flow
+// was seen here before, with another token, and the caller has got no data since. Better
+// sighting of a peer replaces it.
+func (e *Engine) suggestServer(now time.Duration, c *contest, p *Packet) {
+	c.server, c.seenAt, c.sighting = p.Token, now, c.sightingIn(p.Seq, p.Len)
+	if f := e.flows[p.Key()]; f != nil && f.established && !f.acknowledges(p) {
 		c.recall(f)
 	}
-	e.tellContest(key)
 }
 
 // expireContests forgets the contested flows whose time is over.
--- a/core/steer/contest_test.go
+++ b/core/steer/contest_test.go
@@ -114,3 +114,28 @@
 		l.Expect(testing.AllocsPerRun(100, func() { l.engine.Decide(l.now, p) })).To(BeZero())
 	}
 }
+
+// Guards against two instances that ask each other about a flow at the same time, and each take the server of their own packet.
+func TestCrossingQuestionsAgreeOnTheHandshake(t *testing.T) {
+	l, other, f, first, second := newContestedFlow(t)
+	tellEach(l, other)
+	late := f
+	late.Token, late.Len = first.Token, 50
+	l.Expect(other.engine.Decide(other.now, &late).Action).To(Equal(Ask))
+	l.Expect(l.engine.Decide(l.now, &f).Action).To(Equal(Ask))
+	for _, pair := range [][2]*fixture{{l, other}, {other, l}} {
+		question, _ := pair[0].engine.Contest(pair[0].now, f.Key())
+		pair[0].engine.LearnContest(pair[0].now, pair[1].engine.LearnContest(pair[1].now, question))
+	}
+	l.Expect(l.engine.DecideContested(l.now, &f).Server.ID).To(Equal(second.ID))
+	l.Expect(other.engine.DecideContested(other.now, &late).Server.ID).To(Equal(second.ID))
+}
+
+// Guards against a flow that never opens because its first request overtook the end of its handshake.
+func TestOvertakenEndOfTheHandshakeGoesToItsServer(t *testing.T) {
+	l, _, f, first, second := newContestedFlow(t)
+	request := f
+	request.Token, request.Len = first.Token, 50
+	l.Expect(l.decide(&request).Server.ID).To(Equal(first.ID))
+	l.Expect(l.decide(&f).Server.ID).To(Equal(second.ID))
+}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -101,6 +101,9 @@
 	if f := e.flows[p.Key()]; f != nil && f.isOpen(p) {
 		return Verdict{Action: Drop, Reason: Duplicate, Server: f.server}
 	}
+	if c := e.contestOf(p.Key(), p.Seq); c != nil && c.synSeq == p.Seq && c.server != 0 {
+		return Verdict{Action: Drop, Reason: Duplicate, Server: e.catalog.ByToken(c.server)}
+	}
 	return Verdict{Action: Reset, Reason: NoRoom}
 }
 
@@ -167,11 +170,15 @@
 	s := e.catalog.ByToken(p.Token)
 	c := e.reviewContest(now, key, f, s, p)
 	switch {
-	case c == nil || c.server == p.Token:
-	case c.server != 0:
-		s = e.catalog.ByToken(c.server)
-	case p.Token != 0 && !p.RST:
+	case c == nil:
+	case (c.server == 0 || c.asking) && p.Token != 0 && !p.RST:
+		if c.server == 0 {
+			e.suggestServer(now, c, p)
+		}
+		c.asking = true
 		return Verdict{Action: Ask, Reason: Contested}
+	case c.server != 0 && c.server != p.Token:
+		s = e.catalog.ByToken(c.server)
 	}
 	if s != nil {
 		e.observeSilence(now, f, s, p)
--- a/core/steer/model_test.go
+++ b/core/steer/model_test.go
@@ -21,9 +21,10 @@
 	worldMaxTrouble  = 8 * time.Second
 	// worldQuiet is the longest time before the flows and the trouble of a run. It is longer
 	// than the time for which the catalog keeps servers without an entry.
-	worldQuiet     = 70 * time.Second
-	worldBusy      = 40 * time.Second
-	worldOpenEvery = 200 * time.Millisecond // a new flow
+	worldQuiet      = 70 * time.Second
+	worldBusy       = 40 * time.Second
+	worldOpenEvery  = 200 * time.Millisecond // a new flow
+	worldFleetStart = time.Second            // of all instances
 	// worldFlowWindow and worldElsewhere: an open flow is misdirected when that many of its
 	// packets reach other servers within that time and none its own.
 	worldFlowWindow = 2 * time.Second
@@ -167,7 +168,8 @@
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), store: newWorldStore(),
 		running: make(map[netip.AddrPort]*worldServer), servers: make(map[catalog.ServerID]*worldServer),
 		flows: make(map[Key]*worldFlow), halfOpen: rapid.Bool().Draw(t, "ignore half-open"),
-		keepsToken: rapid.Bool().Draw(t, "callers keep the token of their server"),
+		keepsToken:    rapid.Bool().Draw(t, "callers keep the token of their server"),
+		resendsAnswer: rapid.Bool().Draw(t, "servers send answers again"),
 	}
 	for i := range worldServers {
 		w.newServer(worldServices[i/3])
@@ -185,7 +187,7 @@
 // begin starts what goes on during the whole run.
 func (w *world) begin() {
 	for _, n := range w.instances {
-		w.after(time.Second, n.start)
+		w.after(worldFleetStart, n.start)
 	}
 	w.every(worldHeartbeat/4, func() { w.store.expire(w.now) })
 	w.every(worldCopyInterval, func() { w.store.copy = w.store.clone() })
@@ -269,7 +271,8 @@
 //
 // A reset is excused only while the flow's server is cut from its callers, or shortly
 // after. Misdirected packets and resets by other servers are excused as well if the
-// instance was in trouble, or the store. Planned restarts of instances excuse nothing.
+// instance was in trouble, or the store. Planned restarts of instances excuse nothing,
+// unless no other instance answers the one that has started.
 func TestOpenFlowsStayAtTheirServers(t *testing.T) {
 	var total worldStats
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/steer/world_contests_test.go
+++ b/core/steer/world_contests_test.go
@@ -8,6 +8,8 @@
 // Times of the exchange of contested flows. Those of the exchange are of node/edge.
 const (
 	worldContestReply = 30 * time.Millisecond
+	worldMaxQuestion  = 250 * time.Millisecond
+	worldAskAgain     = time.Second
 	worldPeerDelay    = 5 * time.Millisecond // longest time of a message to a peer
 	worldGossipDelay  = 50 * time.Millisecond
 	worldLeaving      = 5 * time.Second        // in which a stopped instance is still asked
@@ -22,7 +24,7 @@
 
 // worldQuestion is a contested flow that the other instances have been asked about.
 type worldQuestion struct {
-	unanswered int
+	unanswered []*worldInstance
 	packets    []worldHeld
 }
 
@@ -57,9 +59,6 @@
 func (n *worldInstance) learnContest(x Contest) Contest {
 	x = n.engine.LearnContest(n.w.now, x)
 	n.w.note("instance %d learns that flow %s is contested, token %d", n.index, x.Key.Caller, x.Server)
-	if q := n.questions[x.Key]; q != nil && x.Server != 0 {
-		n.endQuestion(x.Key, q)
-	}
 	n.tellContests()
 	return x
 }
@@ -69,22 +68,47 @@
 func (n *worldInstance) askContest(p *Packet) {
 	key, now := p.Key(), n.w.now
 	peers := n.contestPeers()
-	q := &worldQuestion{unanswered: len(peers), packets: []worldHeld{{now, *p}}}
+	q := &worldQuestion{unanswered: peers, packets: []worldHeld{{now, *p}}}
 	n.questions[key] = q
-	x, _ := n.engine.Contest(now, key)
-	for _, peer := range peers {
+	n.sendQuestion(key, q)
+	n.run(worldContestReply, func() {
+		if n.w.now-now <= worldMaxQuestion {
+			n.endQuestion(key, q)
+		} else {
+			delete(n.questions, key)
+		}
+	})
+}
+
+// sendQuestion asks the peers that have not answered.
+func (n *worldInstance) sendQuestion(key Key, q *worldQuestion) {
+	x, ok := n.engine.Contest(n.w.now, key)
+	if !ok {
+		return
+	}
+	for _, peer := range slices.Clone(q.unanswered) {
 		n.message(peer, func() {
 			known := peer.learnContest(x)
 			peer.message(n, func() {
-				q.unanswered--
+				q.unanswered = slices.DeleteFunc(q.unanswered, func(x *worldInstance) bool { return x == peer })
 				n.learnContest(known)
-				if q.unanswered == 0 {
+				if len(q.unanswered) == 0 {
 					n.endQuestion(key, q)
 				}
 			})
 		})
 	}
-	n.run(worldContestReply, func() { n.endQuestion(key, q) })
+}
+
+// askAgain repeats a question until all peers have answered.
+func (n *worldInstance) askAgain(key Key, q *worldQuestion) {
+	if len(q.unanswered) == 0 {
+		return
+	}
+	n.run(worldAskAgain, func() {
+		n.sendQuestion(key, q)
+		n.askAgain(key, q)
+	})
 }
 
 func (n *worldInstance) endQuestion(key Key, q *worldQuestion) {
@@ -92,7 +116,8 @@
 		return
 	}
 	delete(n.questions, key)
-	n.w.note("instance %d ends the question about flow %s, %d not answered", n.index, key.Caller, q.unanswered)
+	n.w.note("instance %d ends the question about flow %s, %d not answered", n.index, key.Caller, len(q.unanswered))
+	n.askAgain(key, q)
 	for _, h := range q.packets {
 		n.execute(n.engine.DecideContested(n.w.now, &h.packet), &h.packet)
 	}
@@ -110,7 +135,7 @@
 // fetchContests lets the instance, which has just started, ask the others for all
 // contested flows. It is not ready until one has answered, or it has waited for a while.
 func (n *worldInstance) fetchContests() {
-	n.contestsKnown = false
+	n.contestsKnown, n.informed = false, false
 	n.run(worldContestWait, func() { n.contestsKnown = true })
 	for tries := range worldContestLists {
 		n.run(n.w.between(time.Millisecond, worldGossipDelay)+time.Duration(tries)*worldTick, func() {
@@ -118,7 +143,7 @@
 				n.message(p, func() {
 					list := p.engine.Contests(n.w.now)
 					p.message(n, func() {
-						n.contestsKnown = true
+						n.contestsKnown, n.informed = true, true
 						for _, x := range list {
 							n.learnContest(x)
 						}
--- a/core/steer/world_ends_test.go
+++ b/core/steer/world_ends_test.go
@@ -19,6 +19,7 @@
 	worldFirstResend   = 200 * time.Millisecond
 	worldLastResend    = 1600 * time.Millisecond
 	worldRequestBytes  = 50
+	worldAnswerRepeats = 8
 	worldResponseBytes = 300
 	worldMaxDelay      = 400 * time.Millisecond // of late packets
 	worldSYNDelay      = 3 * time.Millisecond   // of a SYN on its way to the instance
@@ -160,7 +161,7 @@
 		s.flows[f.key] = half
 		fallthrough
 	case p.SYN && !half.open:
-		s.send(true, func() { f.synAck(s, half.firstSeq) })
+		s.answer(f, half, 0)
 		return
 	case p.SYN:
 		return
@@ -193,6 +194,17 @@
 	s.send(false, func() { f.response(s, next, sent, last) })
 }
 
+// answer sends the answer to a SYN, again while it is not acknowledged.
+func (s *worldServer) answer(f *worldFlow, half *worldHalf, repeats int) {
+	if !s.running || half.open || s.flows[f.key] != half {
+		return
+	}
+	s.send(true, func() { f.synAck(s, half.firstSeq) })
+	if s.w.resendsAnswer && repeats < worldAnswerRepeats {
+		s.w.after(min(worldFirstResend<<repeats, worldLastResend), func() { s.answer(f, half, repeats+1) })
+	}
+}
+
 // refuse sends an RST for a packet of a flow that the server does not hold.
 func (s *worldServer) refuse(n *worldInstance, f *worldFlow, p *Packet) {
 	s.w.checkRefusal(n, f, s, p)
--- a/core/steer/world_fleet_test.go
+++ b/core/steer/world_fleet_test.go
@@ -50,7 +50,8 @@
 	held      []worldHeld
 	questions map[Key]*worldQuestion
 
-	contestsKnown bool
+	contestsKnown bool // or it has waited long enough for them
+	informed      bool // a peer has told it of the contested flows since its start
 
 	stopping  bool // as planned
 	startedAt time.Duration
@@ -182,9 +183,14 @@
 	n.run(worldTick, n.tick)
 }
 
-// calm reports whether the instance is in touch.
+// calm reports whether the instance is in touch. One that has started while no other
+// instance answers, as when the others are frozen, cannot know of contested flows.
 func (n *worldInstance) calm() bool {
 	w := n.w
+	if !n.informed && n.startedAt > worldFleetStart {
+		w.stats.uninformed++
+		return false
+	}
 	return w.now-n.troubleAt > worldStableWindow && w.now-w.store.healthyAt > worldStoreCalm
 }
 
--- a/core/steer/world_test.go
+++ b/core/steer/world_test.go
@@ -33,8 +33,9 @@
 	halfOpen  bool   // servers ignore packets of half-open flows that acknowledge another server
 	// keepsToken: a caller whose flow is open takes no token from the answer of another
 	// server to its SYN.
-	keepsToken bool
-	troubleAt  time.Duration
+	keepsToken    bool
+	resendsAnswer bool // servers send an unacknowledged answer to a SYN again
+	troubleAt     time.Duration
 
 	stats worldStats
 	trace []string
@@ -44,6 +45,7 @@
 type worldStats struct {
 	runs, flows, resets int
 	lateTokens          int // packets of open flows with the token of another server
+	uninformed          int // looks at instances that no peer has told of contested flows
 }
 
 func (s *worldStats) add(x *worldStats) {
@@ -51,6 +53,7 @@
 	s.flows += x.flows
 	s.resets += x.resets
 	s.lateTokens += x.lateTokens
+	s.uninformed += x.uninformed
 }
 
 type worldEvent struct {
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -22,9 +22,12 @@
 	// at the same time, and the packets of each that wait.
 	maxQuestions       = 256
 	maxQuestionPackets = 16
-	// smallFleet is the number of members up to which all are told of contested flows. A
-	// domain with few instances may be left without one, and its flows go to others.
-	smallFleet = 16
+	// smallFleet is the number of members up to which all are told of contested flows, and
+	// smallDomain the number of instances of a domain up to which those of other domains are,
+	// as many as in a small fleet. A domain with few instances may be left without one, and
+	// its flows go to others.
+	smallFleet  = 16
+	smallDomain = 3
 	// contestSendTime bounds the messages about contested flows: news wait for this time
 	// for each peer since the last ones.
 	contestSendTime = 300 * time.Microsecond
@@ -41,9 +44,13 @@
 	// maxJoins is the number of times that an instance announces its start, since datagrams
 	// may be lost.
 	maxJoins = 2
-	// handOverTime is how long an instance must have been known for a stopping one to leave
-	// the contested flows to it.
-	handOverTime = 200 * time.Millisecond
+	// handOverInterval is the interval at which a stopping instance tells its peers of the
+	// contested flows until one has taken them.
+	handOverInterval = 200 * time.Millisecond
+	// questionRepeatInterval is the interval at which peers that have not answered are told
+	// again, and maxUnanswered the number of flows for each.
+	questionRepeatInterval = time.Second
+	maxUnanswered          = wire.MaxContests
 	// maxContestRepeats limits the contested flows that are to be told again.
 	maxContestRepeats = 512
 	// contestRepeatTime is the time after which contested flows are told again, since
@@ -63,7 +70,12 @@
 	startedAt    time.Duration // of the instance
 	asked, lists int           // requests for all contested flows, and answers
 	joins        int           // times that the start was announced
-	successorAt  time.Duration // when a member that does not stop was known first since the stop began, 0 before
+
+	handedOverAt time.Duration // last time that a stopping instance told its peers, 0 before
+	handedOver   bool          // a peer that goes on has the contested flows
+
+	unanswered   map[netip.Addr][]steer.Key // questions that peers have not answered
+	askedAgainAt time.Duration
 }
 
 // question is a contested flow that the peers have been asked about.
@@ -82,6 +94,7 @@
 func newContests(now time.Duration) contests {
 	return contests{
 		startedAt: now, questions: make(map[steer.Key]*question), leaving: make(map[netip.Addr]time.Duration),
+		unanswered: make(map[netip.Addr][]steer.Key),
 	}
 }
 
@@ -90,12 +103,17 @@
 // get packets for a while.
 func (i *Instance) flowPeers(now time.Duration) []netip.Addr {
 	var peers []netip.Addr
-	small := i.peers.fleet.Size() <= smallFleet
+	var others []netip.Addr
 	i.peers.fleet.EachMember(func(m *fleet.Member) {
-		if small || m.Domain == i.settings.Domain {
+		if m.Domain == i.settings.Domain {
 			peers = append(peers, m.Addr)
+		} else {
+			others = append(others, m.Addr)
 		}
 	})
+	if i.peers.fleet.Size() <= smallFleet || len(peers) < smallDomain {
+		peers = append(peers, others[:min(len(others), smallFleet)]...)
+	}
 	for a, at := range i.contests.leaving {
 		switch {
 		case now-at > leavingTime:
@@ -177,12 +195,10 @@
 		for _, x := range part {
 			m.Contests = append(m.Contests, wire.Contest{
 				Caller: x.Key.Caller, Dest: x.Key.Dest, SYNSeq: x.SYNSeq, Server: x.Server,
-				Age: wire.FloorMillis(x.Age), Confirmed: x.Confirmed,
+				Age: wire.FloorMillis(x.Age), Sighting: uint8(x.Sighting),
 			})
 		}
-		for _, a := range to {
-			i.sendToPeer(a, m)
-		}
+		i.sendToPeers(to, m)
 	}
 }
 
@@ -190,6 +206,10 @@
 // seen the flow open.
 func (i *Instance) askPeers(now time.Duration, data []byte, p *steer.Packet) {
 	key := p.Key()
+	if q := i.contests.questions[key]; q != nil {
+		q.add(now, data, p)
+		return
+	}
 	x, known := i.engine.Contest(now, key)
 	if !known || len(i.contests.questions) >= maxQuestions {
 		return // as if lost on the network
@@ -244,17 +264,21 @@
 func (i *Instance) endQuestion(now time.Duration, key steer.Key) {
 	q := i.contests.questions[key]
 	delete(i.contests.questions, key)
-	before, _ := i.engine.Contest(now, key)
+	for _, a := range q.peers {
+		if keys := i.contests.unanswered[a]; len(keys) < maxUnanswered {
+			i.contests.unanswered[a] = append(keys, key)
+		}
+	}
 	out := make([]byte, 0, readBuffer)
 	for _, h := range q.packets {
 		i.execute(now, now-h.receivedAt, i.engine.DecideContested(now, &h.packet), &h.packet, h.data, out)
 	}
-	after, _ := i.engine.Contest(now, key)
+	x, _ := i.engine.Contest(now, key)
 	if ok, _ := i.packetLogLimiter.Allow(now); !ok {
 		return
 	}
-	i.log.Info("contested flow", "caller", key.Caller, "dest", key.Dest, "token", uint64(after.Server),
-		"known_by_peer", before.Server != 0, "not_answered", len(q.peers), "waited", now-q.askedAt, "packets", len(q.packets))
+	i.log.Info("contested flow", "caller", key.Caller, "dest", key.Dest, "token", uint64(x.Server),
+		"seen", x.Sighting, "not_answered", len(q.peers), "waited", now-q.askedAt, "packets", len(q.packets))
 }
 
 // handleContests handles a message about contested flows. It does not make its sender a
@@ -266,37 +290,76 @@
 		return
 	case wire.ContestList:
 		i.handleContestList(now, m)
+	case wire.ContestTaken:
+		i.contests.handedOver = true
 	}
 	known := make([]steer.Contest, 0, len(m.Contests))
 	for _, x := range m.Contests {
 		c := i.engine.LearnContest(now, steer.Contest{
 			Key: steer.Key{Caller: x.Caller, Dest: x.Dest}, SYNSeq: x.SYNSeq, Server: x.Server,
-			Age: x.Age.Duration(), Confirmed: x.Confirmed,
+			Age: x.Age.Duration(), Sighting: steer.Sighting(x.Sighting),
 		})
 		known = append(known, c)
 		i.countAnswer(now, from, m.Kind, c)
 	}
-	if m.Kind == wire.ContestQuestion {
+	switch {
+	case m.Kind == wire.ContestQuestion:
 		i.sendContests(wire.ContestAnswer, known, []netip.Addr{from})
+	case m.Kind == wire.ContestHandOver && !i.state.stopping:
+		i.sendToPeer(from, &wire.Message{Kind: wire.ContestTaken, Domain: i.settings.Domain})
 	}
 	i.tellContests(now)
 }
 
-// countAnswer ends the question about a flow when a peer has told its server, or all peers
-// have answered.
+// countAnswer ends the question about a flow when a peer has seen its handshake, or all
+// peers have answered.
 func (i *Instance) countAnswer(now time.Duration, from netip.Addr, k wire.Kind, c steer.Contest) {
+	if k != wire.ContestAnswer {
+		return
+	}
+	isKey := func(key steer.Key) bool { return key == c.Key }
+	if keys := slices.DeleteFunc(i.contests.unanswered[from], isKey); len(keys) > 0 {
+		i.contests.unanswered[from] = keys
+	} else {
+		delete(i.contests.unanswered, from)
+	}
 	q := i.contests.questions[c.Key]
 	if q == nil {
 		return
 	}
-	if k == wire.ContestAnswer {
-		q.peers = slices.DeleteFunc(q.peers, func(a netip.Addr) bool { return a == from })
-	}
-	if c.Server != 0 || len(q.peers) == 0 {
+	q.peers = slices.DeleteFunc(q.peers, func(a netip.Addr) bool { return a == from })
+	if len(q.peers) == 0 {
 		i.endQuestion(now, c.Key)
 	}
 }
 
+// askAgain repeats the questions that peers have not answered: they may have been cut off
+// or paused, and know nothing of these flows.
+func (i *Instance) askAgain(now time.Duration) {
+	c := &i.contests
+	if len(c.unanswered) == 0 || now-c.askedAgainAt < questionRepeatInterval {
+		return
+	}
+	c.askedAgainAt = now
+	peers := i.flowPeers(now)
+	for a, keys := range c.unanswered {
+		var list []steer.Contest
+		keys = slices.DeleteFunc(keys, func(key steer.Key) bool {
+			x, ok := i.engine.Contest(now, key)
+			if ok {
+				list = append(list, x)
+			}
+			return !ok
+		})
+		if len(keys) == 0 || !slices.Contains(peers, a) {
+			delete(c.unanswered, a)
+			continue
+		}
+		c.unanswered[a] = keys
+		i.sendContests(wire.ContestQuestion, list, []netip.Addr{a})
+	}
+}
+
 // requestContests asks a peer for all contested flows, if this instance has just started.
 func (i *Instance) requestContests(now time.Duration) {
 	c := &i.contests
@@ -315,10 +378,13 @@
 // listContests answers ContestsWanted of an instance that has just started. It also lists
 // the members that the instance has to tell of contested flows.
 func (i *Instance) listContests(now time.Duration, to netip.Addr, domain string) {
+	if !i.contests.contestsKnown(now) {
+		return // this instance has just started as well
+	}
 	i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: to, Domain: domain})
 	i.sendContests(wire.ContestList, i.engine.Contests(now), []netip.Addr{to})
 	small := i.peers.fleet.Size() <= smallFleet
-	var list []*fleet.Member
+	list := make([]*fleet.Member, 0, maxListedMembers)
 	i.peers.fleet.EachMember(func(m *fleet.Member) {
 		if small || m.Domain == domain {
 			list = append(list, m)
@@ -352,9 +418,7 @@
 		return
 	}
 	i.contests.joins++
-	for _, a := range i.flowPeers(now) {
-		i.sendToPeer(a, &wire.Message{Kind: wire.Join, Domain: i.settings.Domain})
-	}
+	i.sendToPeers(i.flowPeers(now), &wire.Message{Kind: wire.Join, Domain: i.settings.Domain})
 }
 
 // contestsKnown reports whether the instance has got the contested flows of its peers, or
@@ -364,24 +428,15 @@
 }
 
 // handOverContests reports whether a stopping instance may leave: no flow is contested, or
-// another instance goes on that knows the contested flows.
+// another instance that goes on has taken the contested flows.
 func (i *Instance) handOverContests(now time.Duration) bool {
-	if i.engine.ContestCount() == 0 {
-		return true
-	}
-	list := i.engine.Contests(now)
 	c := &i.contests
-	peers := i.flowPeers(now)
-	stays := slices.ContainsFunc(peers, func(a netip.Addr) bool { return c.leaving[a] == 0 })
-	switch {
-	case !stays:
-		c.successorAt = 0
-	case c.successorAt == 0:
-		c.successorAt = now
-		i.sendContests(wire.ContestNews, list, peers)
-	case now-c.successorAt > handOverTime:
-		i.sendContests(wire.ContestNews, list, peers)
+	if c.handedOver || i.engine.ContestCount() == 0 {
 		return true
 	}
+	if c.handedOverAt == 0 || now-c.handedOverAt >= handOverInterval {
+		c.handedOverAt = now
+		i.sendContests(wire.ContestHandOver, i.engine.Contests(now), i.flowPeers(now))
+	}
 	return false
 }
--- a/node/edge/contests_test.go
+++ b/node/edge/contests_test.go
@@ -64,7 +64,7 @@
 	l.start(2, l.store)
 	l.Eventually(func() int { return l.readyStatus(2) }).Should(Equal(http.StatusOK))
 	l.openContested()
-	l.Eventually(i.log.String).Should(MatchRegexp(`msg="contested flow" caller=\S+ dest=\S+ token=\d+ known_by_peer=false not_answered=0`))
+	l.Eventually(i.log.String).Should(MatchRegexp(`msg="contested flow" caller=\S+ dest=\S+ token=\d+ seen=\d not_answered=0`))
 	l.sendPacket(2, packetOf(1, "late"))
 	l.Expect(l.receive(time.Second)).To(Equal("host-2 " + packetOf(1, "late")))
 }
@@ -82,9 +82,17 @@
 // Guards against a planned stop that leaves contested flows to an instance that does not know them.
 func TestStoppingInstanceLeavesContestedFlowsToOneThatStays(t *testing.T) {
 	l, i := startContested(t)
+	i.mu.Lock()
+	i.settings.StopGrace.Duration = 6 * time.Second
+	i.mu.Unlock()
 	l.openContested()
 	i.stop()
-	time.Sleep(minDrainTime - tickInterval)
+	time.Sleep(2 * minDrainTime)
+	select {
+	case <-i.done:
+		t.Fatal("the instance left before another one had its contested flows")
+	default:
+	}
 	l.start(2, l.store)
 	l.Eventually(func() int { return l.readyStatus(2) }).Should(Equal(http.StatusOK))
 	l.Expect(<-i.done).To(Succeed())
@@ -200,3 +208,29 @@
 	g.Expect(x.Server).To(BeZero())
 	g.Expect(i.contests.questions).To(BeEmpty())
 }
+
+// Guards against a peer that never hears of a contested flow because it could not be reached for a while.
+func TestPeerThatWasCutOffIsToldOfContestedFlows(t *testing.T) {
+	const members = 3
+	w := newSimulation(members, 1, 1, t.Fatalf)
+	w.publishRoutes(w.makeRoutes(1))
+	w.servers = []catalog.Server{{
+		ID: 1, Name: "host-1", Started: 1, Service: w.lastConfig().Routes[0].Targets[0].Service, Domain: "d0", Slots: 1000, Revision: 1,
+		Addr: netip.MustParseAddrPort("10.9.9.9:80"),
+	}}
+	w.run(5 * time.Second)
+	closed := listenLoopback(t)
+	closed.Close()
+	for _, m := range w.members {
+		m.packets, m.socket = fakePackets{}, closed
+	}
+	w.partition(1, 4*time.Second)
+	w.members[0].contest(1)
+	w.members[1].contest(2)
+	w.members[2].contest(3)
+	w.run(4*time.Second + 2*questionRepeatInterval)
+	g := NewWithT(t)
+	for n, m := range w.members {
+		g.Expect(m.engine.ContestCount()).To(Equal(members), "member %d", n)
+	}
+}
--- a/node/edge/instance.go
+++ b/node/edge/instance.go
@@ -258,6 +258,7 @@
 	i.tellContests(now)
 	i.repeatContests(now)
 	i.requestContests(now)
+	i.askAgain(now)
 	if !i.state.stopping {
 		i.tickPeers(now)
 	}
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -97,7 +97,8 @@
 	defer i.mu.Unlock()
 	now := i.adjustedTime()
 	switch m.Kind {
-	case wire.ContestNews, wire.ContestQuestion, wire.ContestAnswer, wire.ContestsWanted, wire.ContestList:
+	case wire.ContestNews, wire.ContestQuestion, wire.ContestAnswer, wire.ContestsWanted, wire.ContestList,
+		wire.ContestHandOver, wire.ContestTaken:
 		i.handleContests(now, from, m)
 		return
 	case wire.Leave:
@@ -111,7 +112,9 @@
 	if (isNew && m.Kind != wire.Join || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
-	delete(i.contests.leaving, from)
+	if m.Kind == wire.Join || m.Kind == wire.Gossip && len(m.Members) == 0 {
+		delete(i.contests.leaving, from) // it has started again
+	}
 	if i.contests.asked == 0 {
 		i.requestContests(now)
 	}
@@ -288,20 +291,28 @@
 // sendToPeer sends a message to a peer. It reports whether the message fits a
 // datagram.
 func (i *Instance) sendToPeer(to netip.Addr, m *wire.Message) bool {
+	return i.sendToPeers([]netip.Addr{to}, m)
+}
+
+// sendToPeers sends a message to several peers. It reports whether the message fits a
+// datagram.
+func (i *Instance) sendToPeers(peers []netip.Addr, m *wire.Message) bool {
 	now := i.clock.now()
 	m.Capacity, m.DomainSize = i.peers.fleet.Self().Capacity, uint16(min(i.peers.fleet.DomainSize(), math.MaxUint16))
 	m.StoreUnreachable, m.StoreLost = i.storeAccess(now).Unreachable, i.storeLostByAll(now)
 	b, err := wire.Encode(m)
 	if err != nil {
-		i.log.Error("peer message not encoded", "peer", to, "error", err)
+		i.log.Error("peer message not encoded", "kind", m.Kind, "peers", peers, "error", err)
 		return true
 	}
 	if len(b) > wire.MaxDatagram {
 		return false
 	}
-	i.metrics.peerBytes.WithLabelValues("sent").Add(float64(len(b)))
-	if err := i.peers.send(b, netip.AddrPortFrom(to, i.peers.port)); err != nil {
-		i.log.Debug("peer message not sent", "peer", to, "error", err)
+	for _, to := range peers {
+		i.metrics.peerBytes.WithLabelValues("sent").Add(float64(len(b)))
+		if err := i.peers.send(b, netip.AddrPortFrom(to, i.peers.port)); err != nil {
+			i.log.Debug("peer message not sent", "peer", to, "error", err)
+		}
 	}
 	return true
 }
--- a/wire/fleet/message.go
+++ b/wire/fleet/message.go
@@ -33,6 +33,8 @@
 	ContestsWanted                  // asks for all contested flows, and for the members of the sender's domain
 	ContestList                     // answers ContestsWanted; a list with less than MaxContests ends it
 	Join                            // announces the sender's start
+	ContestHandOver                 // tells of contested flows before the sender stops
+	ContestTaken                    // acknowledges ContestHandOver, if the sender goes on
 	numKinds
 )
 
@@ -104,7 +106,7 @@
 	SYNSeq       uint32
 	Server       token.Token // of the server where the flow opened, 0 if the sender does not know it
 	Age          Millis      // since the sender, or another instance, has seen it open there
-	Confirmed    bool        // see steer.Contest
+	Sighting     uint8       // see steer.Sighting
 }
 
 // Millis is a duration in milliseconds.
--- a/wire/fleet/message_test.go
+++ b/wire/fleet/message_test.go
@@ -25,7 +25,7 @@
 		Evidence: []ServerEvidence{{Token: 78, RequestsTenths: 125, FailuresTenths: 15}}, ToSource: true,
 		Contests: []Contest{{
 			Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Dest: netip.MustParseAddrPort("198.18.0.1:443"),
-			SYNSeq: 1 << 31, Server: 1 << 31, Age: 30_000, Confirmed: true,
+			SYNSeq: 1 << 31, Server: 1 << 31, Age: 30_000, Sighting: 2,
 		}},
 	}
 }
