Compare sightings of a flow by the arrival of its packets

An instance that had been frozen delivered the first packet of a contested flow when it woke, which opened the flow, and gave the time of waking for that of the packet: a later packet at another instance, with the token of a late answer, counted as the earlier one, and the flow's packets went elsewhere. The earliest time at which the packet can have arrived counts now.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -196,7 +196,7 @@
 	}
 	if c != nil && c.server != 0 && c.server != p.Token && c.sightingIn(p.Seq, p.Len) > c.sighting {
 		// The packet was overtaken by a later one.
-		c.server, c.seenAt, c.sighting = p.Token, now, c.sightingIn(p.Seq, p.Len)
+		c.server, c.seenAt, c.sighting = p.Token, now-p.Age, c.sightingIn(p.Seq, p.Len)
 		e.tellContest(key)
 	}
 	if f == nil {
@@ -239,7 +239,7 @@
 
 // recall notes where the flow was seen open.
 func (c *contest) recall(f *flowEntry) {
-	c.server, c.seenAt = f.server.Token, f.lastPacket
+	c.server, c.seenAt = f.server.Token, f.firstAt
 	if c.sighting = c.sightingIn(f.firstSeq, f.firstLen); f.confirmed {
 		c.sighting = max(c.sighting, FirstData)
 	}
@@ -262,7 +262,7 @@
 // was seen here before, with another token, and the caller has got no data since. Better
 // sighting of a peer replaces it.
 func (e *Engine) suggestServer(now time.Duration, c *contest, p *Packet) {
-	c.server, c.seenAt, c.sighting = p.Token, now, c.sightingIn(p.Seq, p.Len)
+	c.server, c.seenAt, c.sighting = p.Token, now-p.Age, c.sightingIn(p.Seq, p.Len)
 	if f := e.flows[p.Key()]; f != nil && f.established && !f.acknowledges(p) {
 		c.recall(f)
 	}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -41,6 +41,7 @@
 	established bool              // a packet after the handshake was seen
 	firstSeq    uint32            // of the first such packet
 	firstLen    int               // of its data, bytes
+	firstAt     time.Duration     // its arrival, at the earliest
 	// confirmed: the first packet after the handshake had the token of server, to which this
 	// instance had sent the SYN, or the caller has acknowledged data with it.
 	confirmed  bool
@@ -193,7 +194,7 @@
 		if p.FIN {
 			return 0
 		}
-		f = &flowEntry{nextSeq: p.Seq, highestAck: p.Ack, established: true, firstSeq: p.Seq, firstLen: p.Len, server: s, lastPacket: now}
+		f = &flowEntry{nextSeq: p.Seq, highestAck: p.Ack, established: true, firstSeq: p.Seq, firstLen: p.Len, firstAt: now - p.Age, server: s, lastPacket: now}
 		e.flows[key] = f
 		e.state(s).openFlows++
 	}
@@ -204,7 +205,7 @@
 	}
 	if !f.established {
 		f.noteHandshake(now)
-		f.firstSeq, f.firstLen = p.Seq, p.Len
+		f.firstSeq, f.firstLen, f.firstAt = p.Seq, p.Len, now-p.Age
 	}
 	before := f.lastPacket
 	f.lastPacket = now
--- a/core/steer/world_contests_test.go
+++ b/core/steer/world_contests_test.go
@@ -58,7 +58,7 @@
 
 func (n *worldInstance) learnContest(x Contest) Contest {
 	x = n.engine.LearnContest(n.w.now, x)
-	n.w.note("instance %d learns that flow %s is contested, token %d", n.index, x.Key.Caller, x.Server)
+	n.w.note("instance %d learns that flow %s is contested, token %d, sighting %d, age %s", n.index, x.Key.Caller, x.Server, x.Sighting, x.Age)
 	n.tellContests()
 	return x
 }
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -378,11 +378,10 @@
 // listContests answers ContestsWanted of an instance that has just started. It also lists
 // the members that the instance has to tell of contested flows.
 func (i *Instance) listContests(now time.Duration, to netip.Addr, domain string) {
-	if !i.contests.contestsKnown(now) {
-		return // this instance has just started as well
-	}
 	i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: to, Domain: domain})
-	i.sendContests(wire.ContestList, i.engine.Contests(now), []netip.Addr{to})
+	if i.contests.contestsKnown(now) { // otherwise it has just started as well
+		i.sendContests(wire.ContestList, i.engine.Contests(now), []netip.Addr{to})
+	}
 	small := i.peers.fleet.Size() <= smallFleet
 	list := make([]*fleet.Member, 0, maxListedMembers)
 	i.peers.fleet.EachMember(func(m *fleet.Member) {
