Bound the wait for the log output at the stop

Cause: Close of the log writer waited without limit for its goroutine. When nobody reads standard output and its pipe is full, the goroutine is blocked in the write, and egrettack-edge never ended after SIGTERM.

Evidence: TestCloseEndsWhileOutputBlocks fails without the change. egrettack-edge with a full pipe that nobody reads, stop_grace 6s, no store, was still running 20 s after SIGTERM, with and without packets that go on arriving.

--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -6,9 +6,12 @@
 import (
 	"io"
 	"log/slog"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 const (
@@ -18,6 +21,10 @@
 	// flushInterval is how long lines are collected before they are written.
 	// Writing in batches saves system calls.
 	flushInterval = 100 * time.Millisecond
+	// closeTimeout is how long Close waits for the output. It is half of the second
+	// that node/edge leaves unused of the grace period, and more than the two
+	// flushInterval that a stop with working output may take.
+	closeTimeout = 500 * time.Millisecond
 )
 
 // Writer is an asynchronous writer with a bounded buffer. It writes or drops
@@ -65,8 +72,9 @@
 // slog handler writes one line per call.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the buffered lines and stops the goroutine of w. It does not
-// close the underlying writer.
+// Close writes the buffered lines and stops the goroutine of w. If the output
+// blocks for closeTimeout, Close returns os.ErrDeadlineExceeded and leaves the
+// goroutine behind. It does not close the underlying writer.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	if w.closed {
@@ -76,8 +84,12 @@
 	w.closed = true
 	w.mu.Unlock()
 	close(w.wake)
-	<-w.done
-	return nil
+	select {
+	case <-w.done:
+		return nil
+	case <-time.After(closeTimeout):
+		return trace.Wrap(os.ErrDeadlineExceeded, "write the last log lines")
+	}
 }
 
 func (w *Writer) run() {
--- a/node/logging/logging_test.go
+++ b/node/logging/logging_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -56,6 +58,29 @@
 	g.Expect(out.String()).To(Equal("a\nb\n"))
 }
 
+// Guards against a stop that outlasts its grace period because nobody reads the log.
+func TestCloseEndsWhileOutputBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := &blockedWriter{release: make(chan struct{})}
+		w := NewWriter(out)
+		defer func() {
+			close(out.release)
+			<-w.done
+		}()
+		w.Write([]byte("a\n"))
+		time.Sleep(2 * flushInterval)
+		w.Write([]byte("b\n"))
+		closed := make(chan error, 1)
+		go func() { closed <- w.Close() }()
+		// node/edge leaves a second of the grace period unused (graceReserve).
+		time.Sleep(time.Second - time.Millisecond)
+		var err error
+		g.Expect(closed).To(Receive(&err))
+		g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
+}
+
 // Guards against exceeding the rate limit, and against a wrong count of
 // suppressed lines.
 func TestLimiter(t *testing.T) {
