--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -39,6 +39,10 @@
 	HandshakePacket                 // without data, at the end of the handshake
 )
 
+var sightingNames = [...]string{"later_packet", "first_data", "handshake"}
+
+func (s Sighting) String() string { return sightingNames[min(int(s), len(sightingNames)-1)] }
+
 // contest is what is known of a contested flow.
 type contest struct {
 	synSeq   uint32
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -99,11 +99,10 @@
 }
 
 // flowPeers returns the instances that the routers may send the packets of a flow to: those
-// of the own domain, and all of a small fleet. Members that have announced their stop still
-// get packets for a while.
+// of the own domain, and others if the fleet or the domain is small. Members that have
+// announced their stop still get packets for a while.
 func (i *Instance) flowPeers(now time.Duration) []netip.Addr {
-	var peers []netip.Addr
-	var others []netip.Addr
+	var peers, others []netip.Addr
 	i.peers.fleet.EachMember(func(m *fleet.Member) {
 		if m.Domain == i.settings.Domain {
 			peers = append(peers, m.Addr)
@@ -281,8 +280,8 @@
 		"seen", x.Sighting, "not_answered", len(q.peers), "waited", now-q.askedAt, "packets", len(q.packets))
 }
 
-// handleContests handles a message about contested flows. It does not make its sender a
-// member, which may have announced its stop.
+// handleContests handles a message about contested flows. Only one that has just started
+// becomes a member by it: others may have announced their stop.
 func (i *Instance) handleContests(now time.Duration, from netip.Addr, m *wire.Message) {
 	switch m.Kind {
 	case wire.ContestsWanted:
@@ -311,8 +310,7 @@
 	i.tellContests(now)
 }
 
-// countAnswer ends the question about a flow when a peer has seen its handshake, or all
-// peers have answered.
+// countAnswer notes that a peer has answered a question, and ends it when all have.
 func (i *Instance) countAnswer(now time.Duration, from netip.Addr, k wire.Kind, c steer.Contest) {
 	if k != wire.ContestAnswer {
 		return
--- a/node/edge/contests_test.go
+++ b/node/edge/contests_test.go
@@ -64,7 +64,7 @@
 	l.start(2, l.store)
 	l.Eventually(func() int { return l.readyStatus(2) }).Should(Equal(http.StatusOK))
 	l.openContested()
-	l.Eventually(i.log.String).Should(MatchRegexp(`msg="contested flow" caller=\S+ dest=\S+ token=\d+ seen=\d not_answered=0`))
+	l.Eventually(i.log.String).Should(MatchRegexp(`msg="contested flow" caller=\S+ dest=\S+ token=\d+ seen=first_data not_answered=0`))
 	l.sendPacket(2, packetOf(1, "late"))
 	l.Expect(l.receive(time.Second)).To(Equal("host-2 " + packetOf(1, "late")))
 }
