Compare all waiting packets of a contested flow before one is sent

While the peers were asked about the first request of a flow, the end of its handshake, which the request had overtaken, came to wait beside it. The request was sent by its own token, and a millisecond later the handshake opened the flow at the other server: the reset of the former met an open flow.

TestWaitingPacketsAreComparedBeforeOneIsSent.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -249,6 +249,18 @@
 	}
 }
 
+// NoteSighting notes what a packet that waits for the answers of peers shows of the server
+// of its flow. It arrived at a time, at the earliest.
+func (e *Engine) NoteSighting(arrived time.Duration, p *Packet) {
+	c := e.contestOf(p.Key(), p.Seq)
+	if c == nil || p.Token == 0 || p.Token == c.server || p.RST {
+		return
+	}
+	if sighting := c.sightingIn(p.Seq, p.Len); c.precededBy(arrived, sighting) {
+		c.server, c.seenAt, c.sighting = p.Token, arrived, sighting
+	}
+}
+
 // DecideContested decides on a packet after the peers have been asked about its flow. If
 // none of them has seen the flow open, what was seen here tells its server.
 func (e *Engine) DecideContested(now time.Duration, p *Packet) Verdict {
--- a/core/steer/contest_test.go
+++ b/core/steer/contest_test.go
@@ -139,3 +139,16 @@
 	l.Expect(l.decide(&request).Server.ID).To(Equal(first.ID))
 	l.Expect(l.decide(&f).Server.ID).To(Equal(second.ID))
 }
+
+// Guards against a first request that is sent by its own token while the packet that it overtook waits beside it.
+func TestWaitingPacketsAreComparedBeforeOneIsSent(t *testing.T) {
+	l, _, f, first, second := newContestedFlow(t)
+	request := f
+	request.Token, request.Len = first.Token, 50
+	l.Expect(l.engine.Decide(l.now, &request).Action).To(Equal(Ask))
+	for _, p := range []*Packet{&request, &f} {
+		l.engine.NoteSighting(l.now, p)
+	}
+	l.Expect(l.engine.DecideContested(l.now, &request).Server.ID).To(Equal(second.ID))
+	l.Expect(l.engine.DecideContested(l.now, &f).Server.ID).To(Equal(second.ID))
+}
--- a/core/steer/world_contests_test.go
+++ b/core/steer/world_contests_test.go
@@ -118,6 +118,9 @@
 	delete(n.questions, key)
 	n.w.note("instance %d ends the question about flow %s, %d not answered", n.index, key.Caller, len(q.unanswered))
 	n.askAgain(key, q)
+	for _, h := range q.packets {
+		n.engine.NoteSighting(h.receivedAt-h.packet.Age, &h.packet)
+	}
 	for _, h := range q.packets {
 		n.execute(n.engine.DecideContested(n.w.now, &h.packet), &h.packet)
 	}
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -268,6 +268,9 @@
 			i.contests.unanswered[a] = append(keys, key)
 		}
 	}
+	for _, h := range q.packets {
+		i.engine.NoteSighting(h.receivedAt-h.packet.Age, &h.packet)
+	}
 	out := make([]byte, 0, readBuffer)
 	for _, h := range q.packets {
 		i.execute(now, now-h.receivedAt, i.engine.DecideContested(now, &h.packet), &h.packet, h.data, out)
