Keep the better sighting when the number of a SYN becomes known

A record that a changed token had made took the own entry of the flow again when a peer told the number of the SYN, also where a peer had seen the end of the handshake at another server. Found by reading; TestOwnEntryDoesNotReplaceABetterSighting fails without the change.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -186,8 +186,11 @@
 	if f == nil || !f.established || f.server == nil || f.synSeq != c.synSeq && !f.covers(c.synSeq) {
 		return
 	}
-	c.recall(f)
-	e.tellContest(key)
+	seen := *c
+	if seen.recall(f); c.precededBy(seen.seenAt, seen.sighting) {
+		*c = seen
+		e.tellContest(key)
+	}
 }
 
 // reviewContest returns what is known of the flow of a packet if it is contested, nil
--- a/core/steer/contest_test.go
+++ b/core/steer/contest_test.go
@@ -152,3 +152,16 @@
 	l.Expect(l.engine.DecideContested(l.now, &request).Server.ID).To(Equal(second.ID))
 	l.Expect(l.engine.DecideContested(l.now, &f).Server.ID).To(Equal(second.ID))
 }
+
+// Guards against an entry of this instance that replaces what a peer has seen of the end of the handshake, once the number of the SYN is known.
+func TestOwnEntryDoesNotReplaceABetterSighting(t *testing.T) {
+	l := newFixture(t)
+	f := l.openFlowTo(l.serverByID(1))
+	l.request(f, 151, 1001)
+	f.Token = l.serverByID(2).Token
+	l.request(f, 151, 1001) // notes the contest without the SYN
+	known := Contest{Key: Key{f.Caller, f.Dest}, SYNSeq: 151, Server: f.Token, Sighting: HandshakePacket}
+	l.engine.LearnContest(l.now, known)
+	known.SYNSeq, known.Server, known.Sighting = 100, 0, LaterPacket
+	l.Expect(l.engine.LearnContest(l.now, known).Server).To(Equal(f.Token))
+}
