Get ready within 50 ms of a start, and tell peers once of what a question told them

- A starting instance waited 300 ms for the contested flows of its peers.
A peer that runs answers within two round trips.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -214,7 +214,11 @@
 		return c
 	}
 	if c == nil {
-		c = e.noteContest(now, key, p.Seq)
+		seq := p.Seq
+		if len(f.tried) > 0 {
+			seq = f.synSeq
+		}
+		c = e.noteContest(now, key, seq)
 		if f.confirmed {
 			c.recall(f)
 		}
@@ -270,13 +274,24 @@
 	if c := e.contestOf(p.Key(), p.Seq); c != nil {
 		if c.server == 0 && p.Token != 0 {
 			e.suggestServer(now, c, p)
+			c.asking = true
+		}
+		if c.asking {
+			c.asking = false
+			e.tellContest(p.Key())
 		}
-		c.asking = false
-		e.tellContest(p.Key())
 	}
 	return e.Decide(now, p)
 }
 
+// EndQuestion ends the wait for the answers of peers, which have all been told what is
+// known of a contested flow.
+func (e *Engine) EndQuestion(key Key) {
+	if c := e.contests[key]; c != nil {
+		c.asking = false
+	}
+}
+
 // suggestServer takes the token of a packet for that of the flow's server, unless the flow
 // was seen here before, with another token, and the caller has got no data since. Better
 // sighting of a peer replaces it.
--- a/core/steer/world_contests_test.go
+++ b/core/steer/world_contests_test.go
@@ -17,7 +17,7 @@
 	worldGrace        = 4 * time.Second        // longest time that a stop waits for such an instance
 	worldLostPercent  = 2                      // messages to peers
 	worldContestLists = 3
-	worldContestWait  = 300 * time.Millisecond
+	worldContestWait  = 50 * time.Millisecond
 )
 
 var worldContestRepeats = []time.Duration{0, 100 * time.Millisecond}
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -8,6 +8,7 @@
 
 	"egrettack.example/core/fleet"
 	"egrettack.example/core/steer"
+	"egrettack.example/core/token"
 	wire "egrettack.example/wire/fleet"
 )
 
@@ -38,7 +39,7 @@
 	// asks, and contestWait that for which it waits for the first list to get ready.
 	contestLists    = 3
 	contestListTime = 3 * time.Second
-	contestWait     = 300 * time.Millisecond
+	contestWait     = 50 * time.Millisecond
 	// maxListedMembers is the number of members in one message.
 	maxListedMembers = 60
 	// maxJoins is the number of times that an instance announces its start, since datagrams
@@ -83,6 +84,7 @@
 	askedAt time.Duration
 	peers   []netip.Addr // that have not answered
 	packets []heldPacket // of the flow, in order of arrival
+	server  token.Token  // that the peers were told
 }
 
 // contestRepeat is a contested flow that was told to the peers.
@@ -213,7 +215,7 @@
 	if !known || len(i.contests.questions) >= maxQuestions {
 		return // as if lost on the network
 	}
-	q := &question{askedAt: now, peers: i.flowPeers(now)}
+	q := &question{askedAt: now, peers: i.flowPeers(now), server: x.Server}
 	i.contests.questions[key] = q
 	q.add(now, data, p)
 	if len(q.peers) == 0 {
@@ -271,11 +273,15 @@
 	for _, h := range q.packets {
 		i.engine.NoteSighting(h.receivedAt-h.packet.Age, &h.packet)
 	}
+	x, _ := i.engine.Contest(now, key)
+	if len(q.peers) == 0 && x.Server == q.server { // all know it from the question
+		i.engine.EndQuestion(key)
+		i.contests.repeats = slices.DeleteFunc(i.contests.repeats, func(r contestRepeat) bool { return r.key == key })
+	}
 	out := make([]byte, 0, readBuffer)
 	for _, h := range q.packets {
 		i.execute(now, now-h.receivedAt, i.engine.DecideContested(now, &h.packet), &h.packet, h.data, out)
 	}
-	x, _ := i.engine.Contest(now, key)
 	if ok, _ := i.packetLogLimiter.Allow(now); !ok {
 		return
 	}
