soak: hang up a process only when it serves its pages

The soak waits for the pages now, which are served after the signal handler is set up; the checks are the same.

--- a/testkit/edge/instance.go
+++ b/testkit/edge/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -30,7 +31,6 @@
 	addr   netip.Addr
 	proxy  *proxy
 	cmd    *exec.Cmd
-	began  time.Time     // start of the process
 	ended  chan struct{} // closed when the process has ended
 	busy   sync.Mutex    // held by the series of faults that signals or starts the process
 
@@ -86,7 +86,7 @@
 	if err := i.cmd.Start(); err != nil {
 		return trace.Wrap(err, "start of %s", i.Name())
 	}
-	i.began, i.ended = time.Now(), make(chan struct{})
+	i.ended = make(chan struct{})
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		// The exit code of a killed process says nothing.
 		_ = cmd.Wait()
@@ -129,6 +129,18 @@
 	return nil
 }
 
+// awaitPages waits until the process, which runs, answers on its health address.
+func (i *Instance) awaitPages() error {
+	for range 100 {
+		conn, err := net.Dial("tcp4", i.health().String())
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return trace.LimitExceeded("%s does not answer on %s 2 s after its start", i.Name(), i.health())
+}
+
 // restart stops the process gracefully and starts it again.
 func (i *Instance) restart() error {
 	if err := i.Stop(syscall.SIGTERM); err != nil {
--- a/testkit/edge/soak.go
+++ b/testkit/edge/soak.go
@@ -284,16 +284,15 @@
 	})
 }
 
-// hangupAfter is the shortest time from the start of a process to a SIGHUP.
-const hangupAfter = 100 * time.Millisecond
-
 func (s *soak) hangup() error {
 	i := s.instance()
 	i.busy.Lock()
 	defer i.busy.Unlock()
 	s.event(0, "reload %s", i.Name())
 	// Until a process handles SIGHUP, the signal ends it.
-	time.Sleep(time.Until(i.began.Add(hangupAfter)))
+	if err := i.awaitPages(); err != nil {
+		return err
+	}
 	return i.Signal(syscall.SIGHUP)
 }
 
