--- a/core/steer/world_contests_test.go
+++ b/core/steer/world_contests_test.go
@@ -7,17 +7,18 @@
 
 // Times of the exchange of contested flows. Those of the exchange are of node/edge.
 const (
-	worldContestReply = 30 * time.Millisecond
-	worldMaxQuestion  = 250 * time.Millisecond
-	worldAskAgain     = time.Second
-	worldPeerDelay    = 5 * time.Millisecond // longest time of a message to a peer
-	worldGossipDelay  = 50 * time.Millisecond
-	worldLeaving      = 5 * time.Second        // in which a stopped instance is still asked
-	worldHandOver     = 200 * time.Millisecond // after which an instance has what its peers know
-	worldGrace        = 4 * time.Second        // longest time that a stop waits for such an instance
-	worldLostPercent  = 2                      // messages to peers
-	worldContestLists = 3
-	worldContestWait  = 50 * time.Millisecond
+	worldContestReply   = 30 * time.Millisecond
+	worldMaxQuestion    = 250 * time.Millisecond
+	worldAskAgain       = time.Second
+	worldQuestionRepeat = 12 * time.Millisecond
+	worldPeerDelay      = 5 * time.Millisecond // longest time of a message to a peer
+	worldGossipDelay    = 50 * time.Millisecond
+	worldLeaving        = 5 * time.Second        // in which a stopped instance is still asked
+	worldHandOver       = 200 * time.Millisecond // after which an instance has what its peers know
+	worldGrace          = 4 * time.Second        // longest time that a stop waits for such an instance
+	worldLostPercent    = 2                      // messages to peers
+	worldContestLists   = 3
+	worldContestWait    = 50 * time.Millisecond
 )
 
 var worldContestRepeats = []time.Duration{0, 100 * time.Millisecond}
@@ -71,6 +72,11 @@
 	q := &worldQuestion{unanswered: peers, packets: []worldHeld{{now, *p}}}
 	n.questions[key] = q
 	n.sendQuestion(key, q)
+	n.run(worldQuestionRepeat, func() {
+		if n.questions[key] == q {
+			n.sendQuestion(key, q)
+		}
+	})
 	n.run(worldContestReply, func() {
 		if n.w.now-now <= worldMaxQuestion {
 			n.endQuestion(key, q)
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -16,6 +16,9 @@
 	// contestReplyTime is how long the first packet of a contested flow waits for the
 	// answers of peers. They take a few milliseconds, between domains included.
 	contestReplyTime = 30 * time.Millisecond
+	// questionRepeatTime is the time after which peers that have not answered are asked once
+	// more, since datagrams may be lost.
+	questionRepeatTime = 12 * time.Millisecond
 	// maxQuestionTime is the time after which waiting packets are dropped instead: callers
 	// have sent them again.
 	maxQuestionTime = 250 * time.Millisecond
@@ -225,7 +228,9 @@
 	i.sendContests(wire.ContestQuestion, []steer.Contest{x}, q.peers)
 	i.peers.background(func() {
 		i.contain("contested flow", func() {
-			_ = i.sleep(context.Background(), contestReplyTime)
+			_ = i.sleep(context.Background(), questionRepeatTime)
+			i.repeatQuestion(key, q)
+			_ = i.sleep(context.Background(), contestReplyTime-questionRepeatTime)
 			i.mu.Lock()
 			defer i.mu.Unlock()
 			now := i.adjustedTime()
@@ -241,6 +246,18 @@
 	})
 }
 
+// repeatQuestion asks the peers that have not answered yet once more.
+func (i *Instance) repeatQuestion(key steer.Key, q *question) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.contests.questions[key] != q {
+		return
+	}
+	if x, ok := i.engine.Contest(i.clock.now(), key); ok {
+		i.sendContests(wire.ContestQuestion, []steer.Contest{x}, q.peers)
+	}
+}
+
 // add keeps a copy of a packet, unless too many wait already.
 func (q *question) add(now time.Duration, data []byte, p *steer.Packet) {
 	if len(q.packets) < maxQuestionPackets {
--- a/node/edge/contests_test.go
+++ b/node/edge/contests_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,8 +195,9 @@
 	i.packets = fakePackets{}
 	i.peers.send = func([]byte, netip.AddrPort) error { return nil }
 	i.peers.background = func(f func()) { f() }
+	var asked sync.Once
 	i.sleep = func(context.Context, time.Duration) error {
-		i.mu.Unlock() // as when f runs concurrently
+		asked.Do(i.mu.Unlock) // as when f runs concurrently
 		clk.time += 3 * time.Second
 		return nil
 	}
