Keep what starting instances tell of each other out of the tree of sources

Instances that are told of at a start get the news of contested flows for 20 s now, and become members by gossip, as before.

--- a/core/steer/contest.go
+++ b/core/steer/contest.go
@@ -293,8 +293,8 @@
 }
 
 // suggestServer takes the token of a packet for that of the flow's server, unless the flow
-// was seen here before, with another token, and the caller has got no data since. Better
-// sighting of a peer replaces it.
+// was seen here before, with another token, and the caller has got no data since. A
+// better sighting of a peer replaces it.
 func (e *Engine) suggestServer(now time.Duration, c *contest, p *Packet) {
 	c.server, c.seenAt, c.sighting = p.Token, now-p.Age, c.sightingIn(p.Seq, p.Len)
 	if f := e.flows[p.Key()]; f != nil && f.established && !f.acknowledges(p) {
--- a/node/edge/contests.go
+++ b/node/edge/contests.go
@@ -37,6 +37,8 @@
 	contestSendTime = 300 * time.Microsecond
 	// leavingTime is how long a member that has announced its stop may still get packets.
 	leavingTime = 5 * time.Second
+	// startedTime is the time within which all members learn of one that starts, by gossip.
+	startedTime = 20 * time.Second
 	// contestLists is the number of times that an instance has its peers list all contested
 	// flows when it starts, contestListTime the time from the start after which it no longer
 	// asks, and contestWait that for which it waits for the first list to get ready.
@@ -70,6 +72,7 @@
 	planned   bool          // news wait to be sent
 	repeats   []contestRepeat
 	leaving   map[netip.Addr]time.Duration // members that have announced their stop, and when
+	started   map[netip.Addr]time.Duration // instances that were told of at a start, and when
 
 	startedAt    time.Duration // of the instance
 	asked, lists int           // requests for all contested flows, and answers
@@ -99,7 +102,7 @@
 func newContests(now time.Duration) contests {
 	return contests{
 		startedAt: now, questions: make(map[steer.Key]*question), leaving: make(map[netip.Addr]time.Duration),
-		unanswered: make(map[netip.Addr][]steer.Key),
+		unanswered: make(map[netip.Addr][]steer.Key), started: make(map[netip.Addr]time.Duration),
 	}
 }
 
@@ -118,15 +121,21 @@
 	if i.peers.fleet.Size() <= smallFleet || len(peers) < smallDomain {
 		peers = append(peers, others[:min(len(others), smallFleet)]...)
 	}
-	for a, at := range i.contests.leaving {
+	peers = addRecent(peers, now, i.contests.leaving, leavingTime)
+	return addRecent(peers, now, i.contests.started, startedTime)
+}
+
+// addRecent adds the addresses of recent events to a list, and forgets the others.
+func addRecent(list []netip.Addr, now time.Duration, events map[netip.Addr]time.Duration, recent time.Duration) []netip.Addr {
+	for a, at := range events {
 		switch {
-		case now-at > leavingTime:
-			delete(i.contests.leaving, a)
-		case !slices.Contains(peers, a):
-			peers = append(peers, a)
+		case now-at > recent:
+			delete(events, a)
+		case !slices.Contains(list, a):
+			list = append(list, a)
 		}
 	}
-	return peers
+	return list
 }
 
 // tellContests tells the peers of contested flows as soon as there are any.
@@ -306,15 +315,17 @@
 		"seen", x.Sighting, "not_answered", len(q.peers), "waited", now-q.askedAt, "packets", len(q.packets))
 }
 
-// handleContests handles a message about contested flows. Only one that has just started
-// becomes a member by it: others may have announced their stop.
+// handleContests handles a message about contested flows. It does not make its sender a
+// member, which may have announced its stop.
 func (i *Instance) handleContests(now time.Duration, from netip.Addr, m *wire.Message) {
 	switch m.Kind {
 	case wire.ContestsWanted:
-		i.listContests(now, from, m.Domain)
+		i.listContests(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity})
 		return
 	case wire.ContestList:
 		i.handleContestList(now, m)
+	case wire.Join:
+		i.contests.started[from] = now
 	case wire.ContestTaken:
 		i.contests.handedOver = true
 	}
@@ -394,36 +405,45 @@
 	if len(peers) == 0 {
 		return
 	}
-	to := peers[c.asked%len(peers)]
+	// The first-ranked peers would be asked by all instances that start at once.
+	own := i.settings.Packets.Addr().As4()
+	to := peers[(int(own[2])<<8+int(own[3])+c.asked)%len(peers)]
 	c.asked++
 	i.sendToPeer(to, &wire.Message{Kind: wire.ContestsWanted, Domain: i.settings.Domain})
 }
 
 // listContests answers ContestsWanted of an instance that has just started. It also lists
 // the members that the instance has to tell of contested flows.
-func (i *Instance) listContests(now time.Duration, to netip.Addr, domain string) {
-	i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: to, Domain: domain})
+func (i *Instance) listContests(now time.Duration, to fleet.Identity) {
+	i.contests.started[to.Addr] = now
 	if i.contests.contestsKnown(now) { // otherwise it has just started as well
-		i.sendContests(wire.ContestList, i.engine.Contests(now), []netip.Addr{to})
+		i.sendContests(wire.ContestList, i.engine.Contests(now), []netip.Addr{to.Addr})
 	}
 	small := i.peers.fleet.Size() <= smallFleet
 	list := make([]*fleet.Member, 0, maxListedMembers)
 	i.peers.fleet.EachMember(func(m *fleet.Member) {
-		if small || m.Domain == domain {
+		if small || m.Domain == to.Domain {
 			list = append(list, m)
 		}
 	})
 	for part := range slices.Chunk(list, maxListedMembers) {
 		m := &wire.Message{Kind: wire.ContestList, Domain: i.settings.Domain}
 		addMembers(now, m, part)
-		i.sendToPeer(to, m)
+		i.sendToPeer(to.Addr, m)
 	}
 }
 
 // handleContestList learns members from the answer of a peer, and tells them that this
 // instance has started.
 func (i *Instance) handleContestList(now time.Duration, m *wire.Message) {
-	i.recordMembers(now, m)
+	if !i.catalog.Loaded() {
+		i.recordMembers(now, m) // one of them may have the catalog
+	}
+	for _, x := range m.Members {
+		if a := netip.AddrFrom4(x.Addr); a != i.settings.Packets.Addr() {
+			i.contests.started[a] = now
+		}
+	}
 	if len(m.Members) > 0 {
 		i.announceStart(now)
 		return
--- a/node/edge/peers.go
+++ b/node/edge/peers.go
@@ -98,7 +98,7 @@
 	now := i.adjustedTime()
 	switch m.Kind {
 	case wire.ContestNews, wire.ContestQuestion, wire.ContestAnswer, wire.ContestsWanted, wire.ContestList,
-		wire.ContestHandOver, wire.ContestTaken:
+		wire.ContestHandOver, wire.ContestTaken, wire.Join:
 		i.handleContests(now, from, m)
 		return
 	case wire.Leave:
@@ -109,10 +109,10 @@
 	}
 	isNew := i.peers.fleet.RecordMessage(now, fleet.Identity{Addr: from, Domain: m.Domain, Capacity: m.Capacity})
 	// A member may have started again since others told of it, and know nobody.
-	if (isNew && m.Kind != wire.Join || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
+	if (isNew || m.Kind == wire.Gossip && len(m.Members) == 0) && !i.state.stopping {
 		i.sendToPeer(from, i.memberMessage(now, wire.Gossip, from))
 	}
-	if m.Kind == wire.Join || m.Kind == wire.Gossip && len(m.Members) == 0 {
+	if m.Kind == wire.Gossip && len(m.Members) == 0 {
 		delete(i.contests.leaving, from) // it has started again
 	}
 	if i.contests.asked == 0 {
